--- /dev/null
+++ b/action/action.go
@@ -0,0 +1,77 @@
+// Package action identifies member and crew actions and carries the parts of
+// a call that stay the same at every hop.
+//
+// One action is one thing that a member or a crew does, such as paying dues.
+// It has a 128-bit ID that every attempt at every depth carries. The ID and
+// the class of the action give its admission Key: the class comes first, then
+// a hash of the ID, so that every daemon orders actions in the same way and
+// overload sheds the same actions along the whole chain.
+//
+//	id := action.NewID()
+//	key := action.KeyOf(rank, id)
+//	if !level.Admits(key) {
+//		// shed
+//	}
+package action
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// IDSize is the length of an ID in bytes.
+const IDSize = 16
+
+// ID identifies one action across its whole call chain.
+type ID [IDSize]byte
+
+// NewID returns a random ID.
+func NewID() ID {
+	var id ID
+	_, _ = rand.Read(id[:])
+	return id
+}
+
+// ParseID reads an ID from its 16 bytes. A wrong length or an all-zero ID is
+// an *InvalidError.
+func ParseID(b []byte) (ID, error) {
+	var id ID
+	if len(b) != IDSize {
+		return id, &InvalidError{Field: "action_id", Problem: fmt.Sprintf("has %d bytes, want %d", len(b), IDSize)}
+	}
+	copy(id[:], b)
+	if id == (ID{}) {
+		return id, &InvalidError{Field: "action_id", Problem: "is all zero"}
+	}
+	return id, nil
+}
+
+// String returns the ID in hexadecimal.
+func (id ID) String() string {
+	return hex.EncodeToString(id[:])
+}
+
+// Hash returns the position of the action within its class, 0 to 65535.
+func (id ID) Hash() uint16 {
+	return uint16(xxhash.Sum64(id[:]) >> 48)
+}
+
+// Digest returns the xxhash64 of a body.
+func Digest(body []byte) uint64 {
+	return xxhash.Sum64(body)
+}
+
+// InvalidError reports a field of a request that is malformed.
+type InvalidError struct {
+	// Field is the name of the field in the schema.
+	Field string
+	// Problem completes the sentence that the field name begins.
+	Problem string
+}
+
+func (e *InvalidError) Error() string {
+	return e.Field + " " + e.Problem
+}
--- /dev/null
+++ b/admit/control.go
@@ -0,0 +1,135 @@
+package admit
+
+import (
+	"time"
+
+	"sycamorespread.dev/action"
+)
+
+// TickEvery is how often Tick must be called.
+const TickEvery = 50 * time.Millisecond
+
+const (
+	// bucketBits is the part of a key that a bucket of the demand leaves out.
+	bucketBits = 10
+	numBuckets = (int(action.MaxKey) + 1) >> bucketBits
+	// demandWeight is the weight of one tick in the demand of an admitted bucket.
+	demandWeight = 0.25
+	// demandDecay is what one tick leaves of the demand of a bucket that is shed upstream.
+	demandDecay = 0.95
+	// drainTime is how soon a queue above its target should be back at it.
+	drainTime = 200 * time.Millisecond
+	// raiseShare is the part of the capacity by which the level rises in a tick.
+	raiseShare = 0.1
+)
+
+// control moves the level. It keeps the demand seen in each bucket of keys.
+// When the queue is above its target, the level falls to the key up to which
+// the known demand fits the capacity. When the queue is short, the level
+// rises by a part of the capacity; demand that is shed upstream is not seen
+// here and is forgotten within a second or two, so the level opens soon after
+// the demand is gone.
+type control struct {
+	level     action.Level
+	seen      [numBuckets]uint32
+	demand    [numBuckets]float64
+	evicted   int
+	completed int
+}
+
+func bucketOf(k action.Key) int {
+	return int(k) >> bucketBits
+}
+
+// edge returns the last key of a bucket.
+func edge(bucket int) action.Level {
+	return action.Level((bucket+1)<<bucketBits - 1)
+}
+
+func (c *control) arrived(k action.Key) {
+	c.seen[bucketOf(k)]++
+}
+
+// measure folds the arrivals of the last tick into the demand.
+func (c *control) measure() {
+	top := bucketOf(action.Key(c.level))
+	for i := range c.demand {
+		rate := float64(c.seen[i]) / TickEvery.Seconds()
+		c.seen[i] = 0
+		if i <= top {
+			c.demand[i] += demandWeight * (rate - c.demand[i])
+			continue
+		}
+		c.demand[i] = max(rate*demandWeight, c.demand[i]*demandDecay)
+	}
+}
+
+// fit returns the level up to which the demand stays within rate.
+func (c *control) fit(rate float64) action.Level {
+	sum := 0.0
+	for i, d := range c.demand {
+		sum += d
+		if sum > rate {
+			return edge(max(0, i-1))
+		}
+	}
+	return action.Open
+}
+
+// raise returns the level with room for rate more calls a second.
+func (c *control) raise(rate float64) action.Level {
+	sum := 0.0
+	for i := bucketOf(action.Key(c.level)) + 1; i < numBuckets; i++ {
+		sum += c.demand[i]
+		if sum > rate {
+			return edge(i)
+		}
+	}
+	return action.Open
+}
+
+// Tick moves the level by what the last TickEvery showed.
+func (g *Gate) Tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cfg.Mode != Full {
+		return
+	}
+	now := g.cfg.Now()
+	c := &g.control
+	c.measure()
+	capacity := g.capacity(now)
+	target := max(2, capacity*waitTarget.Seconds())
+	over := float64(g.queue.len()) - target
+	switch {
+	case over > 0 || c.evicted > 0:
+		want := capacity - max(0, over)/drainTime.Seconds()
+		c.level = min(c.level, c.fit(max(want, 0)))
+		g.flush()
+	case over < -target/2 && c.level < action.Open:
+		idle := float64(max(0, g.limit(now)-g.inflight)) / float64(g.limit(now))
+		c.level = c.raise(capacity * (raiseShare + idle*raiseShare))
+	}
+	c.evicted = 0
+	c.completed = 0
+}
+
+// flush sheds the waiting calls of classes below the class of the level.
+func (g *Gate) flush() {
+	rank := action.Key(g.control.level).Rank()
+	for g.queue.len() > 0 {
+		w := g.queue.popWorst()
+		if w.key.Rank() <= rank {
+			g.queue.push(w)
+			return
+		}
+		g.evict(w)
+	}
+}
+
+// Level returns the least important key that has capacity now.
+func (g *Gate) Level() action.Level {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.control.level
+}
--- /dev/null
+++ b/admit/queue.go
@@ -0,0 +1,61 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sycamorespread.dev/action"
+)
+
+// waiter is one call in the queue. The verdict is nil when the call may run.
+type waiter struct {
+	id       action.ID
+	key      action.Key
+	order    action.Key
+	seq      uint64
+	arrived  time.Time
+	deadline time.Time
+	verdict  chan error
+}
+
+// queue holds waiters by order, the most important first, then by arrival.
+type queue struct {
+	items []*waiter
+}
+
+func compare(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.seq, b.seq))
+}
+
+func (q *queue) len() int {
+	return len(q.items)
+}
+
+func (q *queue) push(w *waiter) {
+	i, _ := slices.BinarySearchFunc(q.items, w, compare)
+	q.items = slices.Insert(q.items, i, w)
+}
+
+func (q *queue) popBest() *waiter {
+	w := q.items[0]
+	q.items = slices.Delete(q.items, 0, 1)
+	return w
+}
+
+func (q *queue) popWorst() *waiter {
+	i := len(q.items) - 1
+	w := q.items[i]
+	q.items = slices.Delete(q.items, i, i+1)
+	return w
+}
+
+// remove takes w out and reports whether it was still queued.
+func (q *queue) remove(w *waiter) bool {
+	i, ok := slices.BinarySearchFunc(q.items, w, compare)
+	if !ok {
+		return false
+	}
+	q.items = slices.Delete(q.items, i, i+1)
+	return true
+}
--- /dev/null
+++ b/bench/demo.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"sycamorespread.dev/caller"
+	"sycamorespread.dev/load"
+)
+
+const (
+	demoDuration = 15 * time.Second
+	demoRate     = 200.0
+)
+
+func demoCommand(bin, dir *string) *cobra.Command {
+	c := &cobra.Command{Use: "demo", Short: "Run the Kolonihave deployment for a short while", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		line, err := demo(c.Context(), options{bin: *bin, dir: *dir, mode: "full", level: "info", leave: time.Second})
+		if err != nil {
+			fmt.Printf("demo: failed %v\n", err)
+			return errors.Errorf("logs are in %s", *dir)
+		}
+		fmt.Println(line)
+		return nil
+	}
+	return c
+}
+
+// demo runs the deployment and returns the closing line.
+func demo(ctx context.Context, opt options) (line string, err error) {
+	c, err := newCluster(kolonihave(), opt)
+	if err != nil {
+		return "", err
+	}
+	defer func() {
+		if stopErr := c.stop(); err == nil && stopErr != nil {
+			err = stopErr
+		}
+	}()
+	if err := c.start(ctx); err != nil {
+		return "", err
+	}
+	if _, err := c.install(ctx, c.top.policy); err != nil {
+		return "", err
+	}
+	rec, force, err := c.demoLoad(ctx)
+	if err != nil {
+		return "", err
+	}
+	return c.demoJudge(ctx, rec, force)
+}
+
+// demoLoad sends calls and changes the policy through sycctl meanwhile.
+func (c *cluster) demoLoad(ctx context.Context) (*load.Recorder, time.Duration, error) {
+	g := load.New(load.Config{
+		Client:   c.client(2),
+		Kinds:    c.top.kinds,
+		Rate:     func(time.Duration) float64 { return demoRate },
+		Duration: demoDuration,
+		Seed:     1,
+		BodySize: 256,
+	})
+	var rec *load.Recorder
+	done := make(chan struct{})
+	children.Go(func() error {
+		defer close(done)
+		rec = g.Run(ctx)
+		return nil
+	})
+	force, err := c.changePolicy(c.top.policy + "; changed by the demo\n")
+	if err == nil {
+		err = c.showState()
+	}
+	<-done
+	return rec, force, err
+}
+
+// sycctl runs one operator command against the first instance.
+func (c *cluster) sycctl(words ...string) ([]byte, error) {
+	args := append([]string{"--addr", c.instances[0].http().String()}, words...)
+	out, err := exec.Command(filepath.Join(c.opt.bin, "sycctl"), args...).CombinedOutput()
+	return out, errors.Wrapf(err, "sycctl %s: %s", words[0], out)
+}
+
+// changePolicy proposes, reviews and accepts a policy as operators do, and
+// returns how long it took until it was in force everywhere.
+func (c *cluster) changePolicy(text string) (time.Duration, error) {
+	file := filepath.Join(c.opt.dir, "policy.ini")
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		return 0, errors.Wrap(err, "policy file")
+	}
+	out, err := c.sycctl("propose", file, "--author", "anna", "--summary", "a change by the demo")
+	if err != nil {
+		return 0, err
+	}
+	var id, rest string
+	if _, err := fmt.Sscanf(string(out), "change=%s base=%s", &id, &rest); err != nil {
+		return 0, errors.Wrapf(err, "answer to propose %q", out)
+	}
+	if _, err := c.sycctl("review", id, "--author", "bent", "--text", "read and agreed"); err != nil {
+		return 0, err
+	}
+	out, err = c.sycctl("accept", id, "--author", "anna")
+	if err != nil {
+		return 0, err
+	}
+	var rev, ms int
+	if _, err := fmt.Sscanf(string(out), "accepted revision=%d force_ms=%d", &rev, &ms); err != nil {
+		return 0, errors.Wrapf(err, "answer to accept %q", out)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// showState prints what an operator sees of the deployment.
+func (c *cluster) showState() error {
+	for _, command := range []string{"members", "history"} {
+		out, err := c.sycctl(command)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s", out)
+	}
+	return nil
+}
+
+// client returns a caller of all entries that resends up to n times.
+func (c *cluster) client(n int) *caller.Client {
+	return caller.New(caller.Config{
+		Entries:   c.entries(),
+		Resends:   n,
+		Pause:     50 * time.Millisecond,
+		Impatient: true,
+		Allowance: callerAllowance,
+	})
+}
+
+// callerAllowance is what callers allow an action over all resends, in runs.
+const callerAllowance = 16
+
+func (c *cluster) demoJudge(ctx context.Context, rec *load.Recorder, force time.Duration) (string, error) {
+	sum := rec.Sum()
+	runs, err := c.judgeRuns(ctx, rec)
+	if err != nil {
+		return "", err
+	}
+	broken, err := c.broken(ctx)
+	if err != nil {
+		return "", err
+	}
+	added, err := c.added(ctx)
+	if err != nil {
+		return "", err
+	}
+	switch {
+	case sum.Wrong > 0:
+		return "", errors.Errorf("%d wrong answers, the first: %v", sum.Wrong, rec.Wrong()[0])
+	case sum.Whole < sum.Offered:
+		return "", errors.Errorf("%d of %d actions whole: %v", sum.Whole, sum.Offered, rec.Reasons())
+	case broken > 0 || len(runs.Twice) > 0 || len(runs.Liars) > 0 || runs.Most > callerAllowance:
+		return "", errors.Errorf("broken=%g twice=%v liars=%v most=%d", broken, runs.Twice, runs.Liars, runs.Most)
+	}
+	return fmt.Sprintf("demo: ok actions=%d whole=%d wrong=%d policy=%dms added_p99=%.2fms",
+		sum.Offered, sum.Whole, sum.Wrong, force.Milliseconds(), float64(added.p99.Microseconds())/1000), nil
+}
+
+// judgeRuns compares what the backend servers ran with what callers were told.
+func (c *cluster) judgeRuns(ctx context.Context, rec *load.Recorder) (*load.Runs, error) {
+	runs := load.NewRuns()
+	for _, i := range c.instances {
+		if err := runs.Collect(ctx, i.backend()); err != nil {
+			return nil, err
+		}
+	}
+	runs.Judge(rec)
+	return runs, nil
+}
--- /dev/null
+++ b/bench/topology.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"sycamorespread.dev/load"
+)
+
+// serviceDef is one service of a deployment. A method line reads
+// "NAME = RUNTIME DEEPER...".
+type serviceDef struct {
+	name                  string
+	servers, slots, conns int
+	methods               []string
+}
+
+// topology is one deployment at the sizes of today.
+type topology struct {
+	name, region string
+	zones        int
+	services     []serviceDef
+	policy       string
+	kinds        []load.Kind
+	// deep is the bottleneck service, and deepKinds the kinds that need it.
+	deep      string
+	deepKinds []string
+	// deepRun is the run time of one call at the bottleneck.
+	deepRun time.Duration
+	// vital is the kind that must be shed last.
+	vital string
+}
+
+// capacity returns the calls per second of the bottleneck.
+func (t topology) capacity() float64 {
+	for _, s := range t.services {
+		if s.name == t.deep {
+			return float64(s.servers*s.slots) / t.deepRun.Seconds()
+		}
+	}
+	return 0
+}
+
+// deepShare returns the share of all actions that need the bottleneck.
+func (t topology) deepShare() float64 {
+	deep, all := 0.0, 0.0
+	for _, k := range t.kinds {
+		all += k.Weight
+		for _, n := range t.deepKinds {
+			if n == k.Name {
+				deep += k.Weight
+			}
+		}
+	}
+	return deep / all
+}
+
+const kolonihavePolicy = `[class dues]
+rank = 0
+[class boards]
+rank = 1
+[class statements]
+rank = 2
+[class history]
+rank = 3
+
+[method payments.pay]
+class = dues
+repeatable = no
+allowance = 12
+objective = 0.999
+[method statements.view]
+class = statements
+allowance = 16
+objective = 0.99
+[method waitlists.query]
+class = boards
+allowance = 8
+objective = 0.995
+[method waitlists.count]
+class = boards
+allowance = 8
+objective = 0.99
+[method plots.get]
+class = statements
+allowance = 12
+objective = 0.99
+[method plots.ping]
+class = statements
+allowance = 8
+objective = 0.99
+[method plots.history]
+class = history
+allowance = 8
+objective = 0.95
+`
+
+// kolonihave is the deployment of Kolonihave in dk-east.
+func kolonihave() topology {
+	const timeout = 2 * time.Second
+	return topology{
+		name:   "kolonihave",
+		region: "dk-east",
+		zones:  3,
+		services: []serviceDef{
+			{name: "statements", servers: 4, slots: 60, conns: 450, methods: []string{"view = 4ms plots.get"}},
+			{name: "payments", servers: 3, slots: 80, conns: 600, methods: []string{"pay = 4ms plots.get"}},
+			{name: "plots", servers: 4, slots: 60, conns: 450, methods: []string{"get = 3ms waitlists.count", "history = 10ms", "ping = 0s"}},
+			{name: "waitlists", servers: 3, slots: 20, conns: 200, methods: []string{"query = 60ms", "count = 60ms"}},
+		},
+		policy: kolonihavePolicy,
+		kinds: []load.Kind{
+			{Name: "dues", Service: "payments", Method: "pay", Weight: 1, Unrepeatable: true, Timeout: timeout},
+			{Name: "boards", Service: "waitlists", Method: "query", Weight: 2, Timeout: timeout},
+			{Name: "statements", Service: "statements", Method: "view", Weight: 5, Timeout: timeout},
+			{Name: "history", Service: "plots", Method: "history", Weight: 2, Timeout: timeout},
+		},
+		deep:      "waitlists",
+		deepKinds: []string{"dues", "boards", "statements"},
+		deepRun:   60 * time.Millisecond,
+		vital:     "dues",
+	}
+}
+
+const ballonbuchPolicy = `[class filings]
+rank = 0
+[class soundings]
+rank = 1
+[class lookups]
+rank = 2
+
+[method filing.file]
+class = filings
+repeatable = no
+allowance = 12
+objective = 0.999
+[method sounding.pull]
+class = soundings
+allowance = 12
+objective = 0.99
+[method archive.browse]
+class = lookups
+allowance = 12
+objective = 0.95
+[method sites.get]
+class = soundings
+allowance = 6
+objective = 0.99
+`
+
+// ballonbuch is the deployment of Ballonbuch in bayern.
+func ballonbuch() topology {
+	const timeout = 2 * time.Second
+	return topology{
+		name:   "ballonbuch",
+		region: "bayern",
+		zones:  4,
+		services: []serviceDef{
+			{name: "filing", servers: 4, slots: 190, conns: 1200, methods: []string{"file = 4ms sites.get"}},
+			{name: "sounding", servers: 4, slots: 190, conns: 1200, methods: []string{"pull = 8ms sites.get"}},
+			{name: "archive", servers: 4, slots: 190, conns: 1200, methods: []string{"browse = 8ms sites.get"}},
+			{name: "sites", servers: 4, slots: 30, conns: 300, methods: []string{"get = 120ms"}},
+		},
+		policy: ballonbuchPolicy,
+		kinds: []load.Kind{
+			{Name: "filings", Service: "filing", Method: "file", Weight: 1, Unrepeatable: true, Timeout: timeout},
+			{Name: "soundings", Service: "sounding", Method: "pull", Weight: 4, Timeout: timeout},
+			{Name: "lookups", Service: "archive", Method: "browse", Weight: 5, Timeout: timeout},
+		},
+		deep:      "sites",
+		deepKinds: []string{"filings", "soundings", "lookups"},
+		deepRun:   120 * time.Millisecond,
+		vital:     "filings",
+	}
+}
+
+// topologyOf returns a deployment by name.
+func topologyOf(name string) (topology, error) {
+	for _, t := range []topology{kolonihave(), ballonbuch()} {
+		if t.name == name {
+			return t, nil
+		}
+	}
+	return topology{}, fmt.Errorf("deployment %q is not one of %s", name, strings.Join([]string{"kolonihave", "ballonbuch"}, ", "))
+}
--- /dev/null
+++ b/burn/burn.go
@@ -0,0 +1,177 @@
+// Package burn measures how fast each method burns its service-level
+// objective.
+//
+// The entry of each action records whether the action was answered whole and
+// in time. A Report holds counts in a short and a long window; the burn rate
+// is the share of bad actions over the share that the objective allows, so a
+// rate of 1 spends the error budget exactly in time.
+//
+//	rep := burn.New(time.Now)
+//	rep.Record(burn.Method{Service: "payments", Name: "pay", Class: "dues"}, 0.999, whole)
+//	rate := burn.Rate(good, bad, 0.999)
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// Step is the length of one bucket.
+	Step = 10 * time.Second
+	// Short is the short window.
+	Short = 5 * time.Minute
+	// Long is the long window.
+	Long = time.Hour
+
+	numSteps   = int(Long / Step)
+	shortSteps = int(Short / Step)
+)
+
+// Method names what is measured.
+type Method struct {
+	Service, Name, Class string
+}
+
+type counts struct {
+	good, bad uint64
+}
+
+type series struct {
+	objective float64
+	ring      [numSteps]counts
+}
+
+// Report counts good and bad actions of each method. It is safe for
+// concurrent use.
+type Report struct {
+	mu      sync.Mutex
+	now     func() time.Time
+	step    int64
+	methods map[Method]*series
+}
+
+// New returns an empty report.
+func New(now func() time.Time) *Report {
+	return &Report{now: now, methods: map[Method]*series{}}
+}
+
+// Record counts one action of a method with the given objective, 0 to 1.
+func (r *Report) Record(m Method, objective float64, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	s, ok := r.methods[m]
+	if !ok {
+		s = &series{}
+		r.methods[m] = s
+	}
+	s.objective = objective
+	c := &s.ring[r.step%int64(numSteps)]
+	if good {
+		c.good++
+		return
+	}
+	c.bad++
+}
+
+// advance clears the buckets that were passed since the last call.
+func (r *Report) advance() {
+	step := r.now().UnixNano() / int64(Step)
+	passed := min(step-r.step, int64(numSteps))
+	for i := range passed {
+		for _, s := range r.methods {
+			s.ring[(step-i)%int64(numSteps)] = counts{}
+		}
+	}
+	r.step = step
+}
+
+// Rows returns the counts of every method, sorted by name.
+func (r *Report) Rows() []*sycapb.BurnRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	rows := make([]*sycapb.BurnRow, 0, len(r.methods))
+	for m, s := range r.methods {
+		rows = append(rows, r.row(m, s))
+	}
+	Sort(rows)
+	return rows
+}
+
+func (r *Report) row(m Method, s *series) *sycapb.BurnRow {
+	row := &sycapb.BurnRow{Service: m.Service, Method: m.Name, Class: m.Class, Objective: s.objective}
+	for i := numSteps - 1; i >= 0; i-- {
+		c := s.ring[(r.step-int64(i)+int64(numSteps))%int64(numSteps)]
+		row.GoodSeries = append(row.GoodSeries, c.good)
+		row.BadSeries = append(row.BadSeries, c.bad)
+		row.LongGood += c.good
+		row.LongBad += c.bad
+		if i < shortSteps {
+			row.ShortGood += c.good
+			row.ShortBad += c.bad
+		}
+	}
+	return row
+}
+
+// Rate returns the burn rate of a window: 0 without calls, 1 when the bad
+// share is exactly what the objective allows.
+func Rate(good, bad uint64, objective float64) float64 {
+	if good+bad == 0 || objective >= 1 {
+		return 0
+	}
+	return float64(bad) / float64(good+bad) / (1 - objective)
+}
+
+// Merge adds the rows of several daemons by method.
+func Merge(lists ...[]*sycapb.BurnRow) []*sycapb.BurnRow {
+	sum := map[Method]*sycapb.BurnRow{}
+	for _, list := range lists {
+		for _, row := range list {
+			m := Method{Service: row.Service, Name: row.Method, Class: row.Class}
+			if sum[m] == nil {
+				sum[m] = &sycapb.BurnRow{Service: m.Service, Method: m.Name, Class: m.Class}
+			}
+			add(sum[m], row)
+		}
+	}
+	rows := make([]*sycapb.BurnRow, 0, len(sum))
+	for _, row := range sum {
+		rows = append(rows, row)
+	}
+	Sort(rows)
+	return rows
+}
+
+func add(to, row *sycapb.BurnRow) {
+	to.Objective = max(to.Objective, row.Objective)
+	to.ShortGood += row.ShortGood
+	to.ShortBad += row.ShortBad
+	to.LongGood += row.LongGood
+	to.LongBad += row.LongBad
+	to.GoodSeries = addSeries(to.GoodSeries, row.GoodSeries)
+	to.BadSeries = addSeries(to.BadSeries, row.BadSeries)
+}
+
+func addSeries(to, from []uint64) []uint64 {
+	for len(to) < len(from) {
+		to = append(to, 0)
+	}
+	for i, n := range from {
+		to[i] += n
+	}
+	return to
+}
+
+// Sort orders rows by service, method and class.
+func Sort(rows []*sycapb.BurnRow) {
+	slices.SortFunc(rows, func(a, b *sycapb.BurnRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Method, b.Method), cmp.Compare(a.Class, b.Class))
+	})
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,271 @@
+// Package caller is the client that callers embed.
+//
+// A Client sends each action to one entry, any daemon of its region, and goes
+// to another when that one is gone or leaving. It keeps one allowance over
+// all resends of an action, opens a ticket before an unrepeatable call and
+// resends with the same ticket, and checks that each reply is whole and
+// answers its own call.
+//
+//	c := caller.New(caller.Config{Entries: entries, Resends: 3, Allowance: 24})
+//	res := c.Do(ctx, caller.Request{Service: "statements", Method: "view", Timeout: time.Second})
+//	if res.Outcome == sycapb.Outcome_OUTCOME_DONE {
+//		use(res.Body)
+//	}
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// dialTimeout bounds the time to connect to an entry.
+	dialTimeout = 500 * time.Millisecond
+	// connsPerEntry is the number of idle connections kept for one entry.
+	connsPerEntry = 256
+	// defaultTimeout is the deadline of a request that gives none.
+	defaultTimeout = 5 * time.Second
+)
+
+// Config holds the settings of a Client.
+type Config struct {
+	// Entries are the daemons to use, in the order of preference.
+	Entries []netip.AddrPort
+	// Resends is how often an action is sent again when it was not done.
+	Resends int
+	// Pause is the mean pause before a resend; the entry's advice goes before it.
+	Pause time.Duration
+	// Impatient ignores the entry's advice when to resend.
+	Impatient bool
+	// Allowance is how many backend server runs an action may cause over all resends.
+	Allowance uint32
+}
+
+// Request is one action.
+type Request struct {
+	// ID identifies the action; zero makes a new one.
+	ID              action.ID
+	Service, Method string
+	Body            []byte
+	// Unrepeatable tells that the call must run at most once.
+	Unrepeatable bool
+	// Timeout bounds the action with all its resends.
+	Timeout time.Duration
+}
+
+// Result is how an action ended.
+type Result struct {
+	ID      action.ID
+	Outcome sycapb.Outcome
+	Reason  sycapb.Reason
+	// Field is the request field that was refused.
+	Field  string
+	Detail string
+	// Body is the whole answer when the outcome is done.
+	Body []byte
+	// Sends counts the calls that were sent to entries.
+	Sends int
+	// Mismatches counts the replies that were discarded.
+	Mismatches int
+	// Server is the instance that answered.
+	Server string
+}
+
+// Client sends actions. It is safe for concurrent use.
+type Client struct {
+	cfg   Config
+	rpcs  []sycapb.EntryClient
+	first atomic.Int64
+}
+
+// New returns a client for the entries of cfg.
+func New(cfg Config) *Client {
+	h := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: connsPerEntry,
+		DisableCompression:  true,
+	}}
+	c := &Client{cfg: cfg}
+	for _, e := range cfg.Entries {
+		c.rpcs = append(c.rpcs, sycapb.NewEntryClient(h, "http://"+e.String()))
+	}
+	return c
+}
+
+// attemptState is what one action keeps over its resends.
+type attemptState struct {
+	req    Request
+	res    Result
+	entry  int
+	left   uint32
+	ticket []byte
+	// ran tells that an earlier send may have run.
+	ran   bool
+	pause time.Duration
+}
+
+// Do sends one action until it is done, may not be repeated, or its time or
+// resends are over.
+func (c *Client) Do(ctx context.Context, req Request) *Result {
+	if req.ID == (action.ID{}) {
+		req.ID = action.NewID()
+	}
+	if req.Timeout == 0 {
+		req.Timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
+	defer cancel()
+	s := &attemptState{req: req, res: Result{ID: req.ID}, left: c.cfg.Allowance}
+	s.entry = int(c.first.Add(1)-1) % len(c.rpcs)
+	for n := 0; ; n++ {
+		c.send(ctx, s)
+		if s.final() || n >= c.cfg.Resends || s.left == 0 || !c.wait(ctx, s) {
+			return c.end(s)
+		}
+	}
+}
+
+// final reports whether another send cannot or must not help.
+func (s *attemptState) final() bool {
+	switch s.res.Outcome {
+	case sycapb.Outcome_OUTCOME_DONE:
+		return true
+	case sycapb.Outcome_OUTCOME_FAILED:
+		return s.req.Unrepeatable
+	case sycapb.Outcome_OUTCOME_UNKNOWN:
+		return s.req.Unrepeatable && len(s.ticket) == 0
+	}
+	return s.res.Reason == sycapb.Reason_REASON_INVALID || s.res.Reason == sycapb.Reason_REASON_QUARANTINED
+}
+
+// end reports an action as not run only when no send of it may have run.
+func (c *Client) end(s *attemptState) *Result {
+	if s.ran && s.res.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
+		s.res.Outcome = sycapb.Outcome_OUTCOME_FAILED
+	}
+	return &s.res
+}
+
+func (c *Client) wait(ctx context.Context, s *attemptState) bool {
+	pause := c.cfg.Pause/2 + rand.N(c.cfg.Pause+1)
+	if !c.cfg.Impatient {
+		pause = max(pause, s.pause)
+	}
+	if d, ok := ctx.Deadline(); ok && time.Until(d) <= pause {
+		return false
+	}
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send makes one call to an entry and notes how it ended.
+func (c *Client) send(ctx context.Context, s *attemptState) {
+	if s.req.Unrepeatable && len(s.ticket) == 0 && !c.openTicket(ctx, s) {
+		return
+	}
+	call := c.call(ctx, s)
+	s.res.Sends++
+	reply, err := c.rpcs[s.entry].Submit(ctx, connect.NewRequest(call))
+	if err == nil {
+		err = action.Verify(call, reply.Msg)
+		var bad *action.MismatchError
+		if errors.As(err, &bad) {
+			s.res.Mismatches++
+		}
+	}
+	if err != nil {
+		c.failed(s, call, err)
+		return
+	}
+	c.replied(s, call, reply.Msg)
+}
+
+func (c *Client) call(ctx context.Context, s *attemptState) *sycapb.Call {
+	timeout := s.req.Timeout
+	if d, ok := ctx.Deadline(); ok {
+		timeout = max(time.Until(d), time.Microsecond)
+	}
+	return &sycapb.Call{
+		ActionId:  s.req.ID[:],
+		AttemptId: rand.Uint64(),
+		Service:   s.req.Service,
+		Method:    s.req.Method,
+		Body:      s.req.Body,
+		Digest:    action.Digest(s.req.Body),
+		TimeoutUs: timeout.Microseconds(),
+		Allowance: (s.left + 1) / 2,
+		Ticket:    s.ticket,
+	}
+}
+
+// failed notes a call without a valid reply, and changes the entry.
+func (c *Client) failed(s *attemptState, call *sycapb.Call, err error) {
+	s.entry = (s.entry + 1) % len(c.rpcs)
+	s.res.Detail = err.Error()
+	s.pause = 0
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		s.res.Outcome, s.res.Reason = sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_UNREACHABLE
+		return
+	}
+	s.left -= min(s.left, call.Allowance)
+	s.ran = true
+	s.res.Outcome, s.res.Reason = sycapb.Outcome_OUTCOME_UNKNOWN, sycapb.Reason_REASON_LOST
+}
+
+func (c *Client) replied(s *attemptState, call *sycapb.Call, r *sycapb.Reply) {
+	spent := call.Allowance - min(call.Allowance, r.Unspent)
+	s.left -= min(s.left, spent)
+	s.res.Outcome, s.res.Reason = r.Outcome, r.Reason
+	s.res.Field, s.res.Detail = r.Field, r.Detail
+	s.res.Body = r.Body
+	s.res.Server = r.Server
+	s.pause = time.Duration(r.RetryAfterMs) * time.Millisecond
+	switch r.Outcome {
+	case sycapb.Outcome_OUTCOME_NOTRUN:
+		// The refused ticket is void, another may be opened.
+		s.ticket = nil
+		if r.Reason == sycapb.Reason_REASON_LEAVING {
+			s.entry = (s.entry + 1) % len(c.rpcs)
+		}
+	case sycapb.Outcome_OUTCOME_FAILED, sycapb.Outcome_OUTCOME_UNKNOWN:
+		s.ran = true
+	}
+}
+
+// openTicket opens a ticket at the entry and reports whether it got one.
+func (c *Client) openTicket(ctx context.Context, s *attemptState) bool {
+	req := &sycapb.TicketRequest{Service: s.req.Service, Method: s.req.Method}
+	r, err := c.rpcs[s.entry].OpenTicket(ctx, connect.NewRequest(req))
+	if err != nil {
+		s.entry = (s.entry + 1) % len(c.rpcs)
+		s.res.Outcome, s.res.Reason, s.res.Detail = sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_UNREACHABLE, err.Error()
+		return false
+	}
+	if r.Msg.Ticket == nil {
+		if r.Msg.Reason == sycapb.Reason_REASON_LEAVING {
+			s.entry = (s.entry + 1) % len(c.rpcs)
+		}
+		s.res.Outcome, s.res.Reason = sycapb.Outcome_OUTCOME_NOTRUN, r.Msg.Reason
+		s.res.Field, s.res.Detail = r.Msg.Field, r.Msg.Detail
+		return false
+	}
+	s.ticket = r.Msg.Ticket
+	return true
+}
--- /dev/null
+++ b/daemon/claim.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// maxKeyLen bounds an idempotency key, in bytes.
+	maxKeyLen = 128
+	// claimKeep is how long the platform remembers a claim at least.
+	claimKeep = 10 * time.Minute
+	// claimLeaseUse is how long one lease is used for new claims.
+	claimLeaseUse = time.Minute
+)
+
+// claimLease is the platform lease that new claims live with.
+type claimLease struct {
+	id      uint64
+	granted time.Time
+}
+
+// claim binds an idempotency key to a ticket.
+type claim struct {
+	name    string
+	version uint64
+	ticket  []byte
+	// own tells that this daemon wrote the claim just now.
+	own bool
+}
+
+// claimed runs an unrepeatable call that came with a key only. The claim in
+// the platform makes every entry use the same ticket for the same key.
+func (d *Daemon) claimed(ctx context.Context, o *outbound, key string) *sycapb.Reply {
+	ctx, cancel := context.WithDeadline(ctx, o.deadline)
+	defer cancel()
+	if d.platform == nil {
+		return action.Refusal(o.call, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_PLATFORM, "claims need the platform, which the settings do not name; open a ticket instead")
+	}
+	name := "claim/" + o.call.Service + "." + o.call.Method + "/" + key
+	cl, refusal := d.claim(ctx, o, name, 0)
+	if refusal != nil {
+		return refusal
+	}
+	r := d.forwardClaim(ctx, o, cl)
+	if cl.own || r.Outcome != sycapb.Outcome_OUTCOME_NOTRUN {
+		return r
+	}
+	// The ticket of an earlier claim is void: it never ran and never will.
+	cl, refusal = d.claim(ctx, o, name, cl.version)
+	if refusal != nil {
+		return refusal
+	}
+	return d.forwardClaim(ctx, o, cl)
+}
+
+func (d *Daemon) forwardClaim(ctx context.Context, o *outbound, cl *claim) *sycapb.Reply {
+	home, err := homeOf(cl.ticket)
+	if err != nil {
+		return invalid(o.call, err)
+	}
+	o.home = home
+	o.call.Ticket = cl.ticket
+	return d.forward(ctx, o)
+}
+
+// claim writes a claim over the given version, or returns the one that
+// another entry wrote.
+func (d *Daemon) claim(ctx context.Context, o *outbound, name string, base uint64) (*claim, *sycapb.Reply) {
+	refuse := func(why sycapb.Reason, err error) (*claim, *sycapb.Reply) {
+		return nil, action.Refusal(o.call, sycapb.Outcome_OUTCOME_NOTRUN, why, err.Error())
+	}
+	if !d.claims.Allow() {
+		return refuse(sycapb.Reason_REASON_SHED, errors.Errorf("this entry writes at most %g claims a second; open a ticket instead", d.cfg.ClaimRate))
+	}
+	lease, err := d.claimLease(ctx)
+	if err != nil {
+		return refuse(sycapb.Reason_REASON_PLATFORM, err)
+	}
+	t := d.openTicket(ctx, &sycapb.TicketRequest{Service: o.call.Service, Method: o.call.Method})
+	if t.Ticket == nil {
+		return refuse(t.Reason, errors.New(t.Detail))
+	}
+	b, err := proto.Marshal(&sycapb.Claim{Key: name, Ticket: t.Ticket})
+	if err != nil {
+		return refuse(sycapb.Reason_REASON_INVALID, err)
+	}
+	item, err := d.settleClaim(ctx, name, b, base, lease)
+	if err != nil {
+		return refuse(sycapb.Reason_REASON_PLATFORM, err)
+	}
+	stored := new(sycapb.Claim)
+	if err := proto.Unmarshal(item.Value, stored); err != nil || len(stored.Ticket) == 0 {
+		return refuse(sycapb.Reason_REASON_PLATFORM, errors.Errorf("claim %q cannot be read", name))
+	}
+	own := string(stored.Ticket) == string(t.Ticket)
+	return &claim{name: name, version: item.Version, ticket: stored.Ticket, own: own}, nil
+}
+
+// settleClaim writes a claim and returns what stands there afterwards. When
+// the answer is lost it reads back before anything else.
+func (d *Daemon) settleClaim(ctx context.Context, name string, value []byte, base, lease uint64) (*sycapb.Item, error) {
+	put, err := d.platform.Put(ctx, name, value, base, lease)
+	if err == nil {
+		if put.Item.GetVersion() == 0 {
+			d.dropLease(lease)
+			return nil, errors.New("the platform no longer knows the lease of the claim")
+		}
+		return put.Item, nil
+	}
+	item, readErr := d.platform.Get(ctx, name)
+	if readErr != nil {
+		return nil, err
+	}
+	if item.Version <= base {
+		return nil, err
+	}
+	return item, nil
+}
+
+// claimLease returns a lease that lives for at least claimKeep.
+func (d *Daemon) claimLease(ctx context.Context) (uint64, error) {
+	d.leaseMu.Lock()
+	defer d.leaseMu.Unlock()
+	asked := time.Now()
+	if d.lease.id != 0 && asked.Sub(d.lease.granted) < claimLeaseUse {
+		return d.lease.id, nil
+	}
+	id, err := d.platform.Grant(ctx, claimKeep+2*claimLeaseUse)
+	if err != nil {
+		return 0, err
+	}
+	d.lease = claimLease{id: id, granted: asked}
+	return id, nil
+}
+
+// dropLease makes the next claim ask for a new lease.
+func (d *Daemon) dropLease(id uint64) {
+	d.leaseMu.Lock()
+	defer d.leaseMu.Unlock()
+	if d.lease.id == id {
+		d.lease = claimLease{}
+	}
+}
+
+// crashes numbers the crashes of the backend server.
+type crashes struct {
+	n    atomic.Uint64
+	last atomic.Int64
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,260 @@
+// Package daemon is the process beside each backend server.
+//
+// A Daemon is three things at once. As the entry it takes calls of callers;
+// as the ingress of its backend server it admits and runs calls; as the
+// egress of its backend server it forwards that server's own calls to deeper
+// services. Entry and egress share one way out, forward.go; what they send
+// arrives at the ingress of another daemon, ingress.go.
+//
+//	caller --connect--> entry --drpc--> ingress --connect--> backend server
+//	                                            egress <--connect-- its own calls
+//
+// Beside the calls a Daemon keeps the membership, the policy in force, the
+// quarantine and the burn report, and serves operators.
+//
+//	d, err := daemon.New(cfg, log)
+//	err = d.Run(ctx) // until ctx ends, then leaves gracefully
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+	"sycamorespread.dev/admit"
+	"sycamorespread.dev/allow"
+	"sycamorespread.dev/burn"
+	"sycamorespread.dev/config"
+	"sycamorespread.dev/member"
+	"sycamorespread.dev/peer"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/policy"
+	"sycamorespread.dev/route"
+	"sycamorespread.dev/server"
+	"sycamorespread.dev/stats"
+	"sycamorespread.dev/store"
+	"sycamorespread.dev/sycapb"
+	"sycamorespread.dev/ticket"
+)
+
+const (
+	// idlePeerConns is the number of idle connections kept for one peer.
+	idlePeerConns = 64
+	// idlePeerFor is how long they are kept.
+	idlePeerFor = time.Minute
+	// actionsKeep is how long the entry remembers the allowance of an action.
+	actionsKeep = time.Minute
+	// leaveMost bounds a graceful stop.
+	leaveMost = 60 * time.Second
+	// leavePoll is how often a leaving daemon checks what is in flight.
+	leavePoll = 20 * time.Millisecond
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	cfg *config.Config
+	log *logrus.Entry
+
+	gate     *admit.Gate
+	table    *route.Table
+	shares   *allow.Shares
+	budgets  *allow.Budgets
+	actions  *allow.Actions
+	home     *ticket.Home
+	book     *poison.Book
+	report   *burn.Report
+	holder   *policy.Holder
+	registry *policy.Registry
+	node     *member.Node
+	peers    *peer.Client
+	backend  *server.Client
+	platform *store.Client
+	stats    *stats.Set
+	claims   *rate.Limiter
+	runs     *runs
+	deeps    *deeps
+	crashes  crashes
+	suspects chan struct{}
+
+	incarnation uint64
+	leaving     atomic.Bool
+	down        atomic.Bool
+	calls       sync.WaitGroup
+	inflight    atomic.Int64
+	routesStale chan struct{}
+	pulls       chan pull
+	udp         *net.UDPConn
+	drpc        net.Listener
+	http        net.Listener
+	leaseMu     sync.Mutex
+	lease       claimLease
+}
+
+// New opens the sockets and prepares a daemon.
+func New(cfg *config.Config, log *logrus.Entry) (*Daemon, error) {
+	started := time.Now()
+	d := &Daemon{
+		cfg:         cfg,
+		log:         log,
+		incarnation: uint64(started.UnixMilli()),
+		gate:        admit.New(admit.Config{Slots: cfg.Slots, WarmUp: cfg.WarmUp, Mode: cfg.Mode, Now: time.Now}),
+		table:       route.New(cfg.ID, cfg.Zone, time.Now),
+		shares:      allow.NewShares(),
+		budgets:     allow.NewBudgets(),
+		actions:     allow.NewActions(actionsKeep, time.Now),
+		report:      burn.New(time.Now),
+		peers:       peer.New(peer.Config{Local: cfg.Addr.Addr(), Idle: idlePeerConns, IdleFor: idlePeerFor}),
+		backend:     server.New(cfg.Server, cfg.Connections),
+		stats:       stats.New(),
+		claims:      rate.NewLimiter(rate.Limit(cfg.ClaimRate), int(cfg.ClaimRate)),
+		runs:        newRuns(),
+		deeps:       newDeeps(),
+		suspects:    make(chan struct{}, 1),
+		routesStale: make(chan struct{}, 1),
+		pulls:       make(chan pull, 1),
+	}
+	monotonic := func() time.Duration { return time.Since(started) }
+	d.home = ticket.NewHome(cfg.ID, rand.Uint64(), cfg.TicketValid, monotonic)
+	d.book = poison.New(time.Now, d.poisonChanged)
+	if err := d.loadPolicy(); err != nil {
+		return nil, err
+	}
+	d.openPlatform()
+	return d, d.listen()
+}
+
+// loadPolicy takes the policy of the settings, if they name one.
+func (d *Daemon) loadPolicy() error {
+	d.holder = policy.NewHolder(nil)
+	if d.cfg.PolicyFile == "" {
+		return nil
+	}
+	p, err := readPolicy(d.cfg.PolicyFile)
+	if err != nil {
+		return errors.Wrapf(err, "policy file %s", d.cfg.PolicyFile)
+	}
+	d.holder = policy.NewHolder(p)
+	return nil
+}
+
+func (d *Daemon) openPlatform() {
+	if !d.cfg.Platform.IsValid() {
+		return
+	}
+	h := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	d.platform = store.New(h, "http://"+d.cfg.Platform.String())
+	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now}
+}
+
+func (d *Daemon) listen() error {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.cfg.Addr))
+	if err != nil {
+		return errors.Wrapf(err, "listen on udp %s", d.cfg.Addr)
+	}
+	d.udp = udp
+	if d.drpc, err = net.Listen("tcp", d.cfg.Addr.String()); err != nil {
+		return errors.Wrapf(err, "listen on tcp %s", d.cfg.Addr)
+	}
+	if d.http, err = net.Listen("tcp", d.cfg.HTTP.String()); err != nil {
+		return errors.Wrapf(err, "listen on tcp %s", d.cfg.HTTP)
+	}
+	d.node = member.New(d.memberConfig(), udpConn(udp))
+	return nil
+}
+
+// Run serves until ctx ends, then announces that it leaves, finishes what is
+// in flight and stops. It returns nil after a graceful stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, inner := errgroup.WithContext(inner)
+	web := d.webServer()
+	g.Go(func() error { return d.node.Run(inner) })
+	g.Go(func() error { return d.peerServer().Serve(inner, d.drpc) })
+	g.Go(func() error { return serveWeb(web, d.http) })
+	g.Go(func() error { return d.tickLoop(inner) })
+	g.Go(func() error { return d.routeLoop(inner) })
+	g.Go(func() error { return d.healthLoop(inner) })
+	g.Go(func() error { return d.joinLoop(inner) })
+	g.Go(func() error { return d.seedLoop(inner) })
+	g.Go(func() error { return d.watchLoop(inner) })
+	g.Go(func() error { return d.pullLoop(inner) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-inner.Done():
+			return web.Close()
+		}
+		err := d.leave(web)
+		stop()
+		return err
+	})
+	d.log.WithFields(logrus.Fields{"addr": d.cfg.Addr, "http": d.cfg.HTTP, "service": d.cfg.Service}).Info("started")
+	err := g.Wait()
+	d.log.WithField("err", err).Info("stopped")
+	return err
+}
+
+// leave announces the stop, waits until nothing is in flight and closes.
+func (d *Daemon) leave(web *http.Server) error {
+	d.startLeaving()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveMost)
+	defer cancel()
+	sleep(ctx, d.cfg.LeaveWait)
+	for d.inflight.Load() > 0 && sleep(ctx, leavePoll) {
+	}
+	err := web.Shutdown(ctx)
+	for d.inflight.Load() > 0 && sleep(ctx, leavePoll) {
+	}
+	d.node.Update(func(e *sycapb.MemberEntry) { e.State = sycapb.MemberState_MEMBER_STATE_LEFT })
+	d.log.WithField("inflight", d.inflight.Load()).Info("left")
+	return errors.Wrap(err, "stop serving callers")
+}
+
+// startLeaving refuses new work and tells the members and the backend server.
+func (d *Daemon) startLeaving() {
+	if d.leaving.Swap(true) {
+		return
+	}
+	d.log.WithField("inflight", d.inflight.Load()).Info("leaving")
+	d.node.Update(func(e *sycapb.MemberEntry) { e.Leaving = true })
+}
+
+// begin counts a call in flight until the returned function is called.
+func (d *Daemon) begin() func() {
+	d.inflight.Add(1)
+	return func() { d.inflight.Add(-1) }
+}
+
+func (d *Daemon) tickLoop(ctx context.Context) error {
+	t := time.NewTicker(admit.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			d.gate.Tick()
+		}
+	}
+}
+
+// sleep waits for dur and reports whether ctx is still live.
+func sleep(ctx context.Context, dur time.Duration) bool {
+	t := time.NewTimer(dur)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/daemon/health.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// healthEvery is the time between two checks of the backend server.
+	healthEvery = 500 * time.Millisecond
+	// downEvery is the time between two checks while it is down.
+	downEvery = 100 * time.Millisecond
+	// healthWait bounds one check.
+	healthWait = time.Second
+	// crashGap separates two crashes; lost answers closer together are one crash.
+	crashGap = 300 * time.Millisecond
+)
+
+// healthLoop watches whether the backend server can be reached. A backend
+// server that answers slowly or says that it is unhealthy stays in service:
+// only one that refuses connections is down.
+func (d *Daemon) healthLoop(ctx context.Context) error {
+	for {
+		wait := healthEvery
+		if d.down.Load() {
+			wait = downEvery
+		}
+		if !sleep(ctx, wait) {
+			return nil
+		}
+		d.setDown(d.refusesConnections(ctx))
+	}
+}
+
+func (d *Daemon) refusesConnections(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, healthWait)
+	defer cancel()
+	return isDial(d.backend.Health(ctx))
+}
+
+// setDown records and announces a change of the backend server's state.
+func (d *Daemon) setDown(down bool) {
+	if d.down.Swap(down) == down {
+		return
+	}
+	if !down {
+		d.gate.Restart()
+	}
+	d.log.WithField("down", down).Warn("backend server changed")
+	d.node.Update(func(e *sycapb.MemberEntry) { e.Down = down })
+}
+
+// lost handles a run whose answer did not arrive. When the backend server
+// refuses connections it has crashed, and all that was in flight is suspect.
+func (d *Daemon) lost(r *run, err error) {
+	if isDial(err) {
+		d.setDown(true)
+		return
+	}
+	if !d.refusesConnections(context.Background()) {
+		return
+	}
+	d.setDown(true)
+	now := time.Now().UnixNano()
+	if last := d.crashes.last.Swap(now); now-last > int64(crashGap) {
+		d.crashes.n.Add(1)
+	}
+	id := fmt.Sprintf("%s@%d#%d", d.cfg.ID, d.incarnation, d.crashes.n.Load())
+	if !d.full() {
+		return
+	}
+	d.book.Crashed(id, d.runs.requests())
+	d.log.WithFields(logrus.Fields{"crash": id, "action": r.a.id, "err": err}).Warn("backend server crashed")
+}
+
+// poisonChanged spreads an entry of the quarantine that changed.
+func (d *Daemon) poisonChanged(e *sycapb.PoisonEntry) {
+	if d.node != nil {
+		d.node.AnnouncePoison(e)
+	}
+	if d.book.State(poison.Print(e.Fingerprint)) == poison.Quarantined {
+		d.log.WithFields(logrus.Fields{"service": e.Service, "method": e.Method, "print": fmt.Sprintf("%x", e.Fingerprint)}).Warn("request quarantined")
+	}
+}
--- /dev/null
+++ b/daemon/ingress.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/admit"
+	"sycamorespread.dev/allow"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/server"
+	"sycamorespread.dev/sycapb"
+	"sycamorespread.dev/ticket"
+)
+
+// arrival is one attempt at the ingress.
+type arrival struct {
+	call     *sycapb.Call
+	id       action.ID
+	key      action.Key
+	deadline time.Time
+	print    poison.Print
+	run      *ticket.Run
+}
+
+// serve carries out one attempt at the backend server beside this daemon.
+func (d *Daemon) serve(ctx context.Context, c *sycapb.Call) *sycapb.Reply {
+	defer d.begin()()
+	start := time.Now()
+	r := d.ingress(ctx, c, start)
+	d.decorate(r, c)
+	d.stats.Ingress(r.Outcome, time.Since(start))
+	return r
+}
+
+// decorate adds what the answering server tells on every reply.
+func (d *Daemon) decorate(r *sycapb.Reply, c *sycapb.Call) {
+	s := d.gate.Stats()
+	r.Load = &sycapb.Load{Inflight: uint32(s.Inflight), Queued: uint32(s.Queued), Limit: uint32(s.Limit)}
+	level := min(d.gate.Level(), d.deeps.level(c.Method, d.table))
+	r.Level = level.Proto()
+	r.Leaving = d.leaving.Load()
+	r.Server = d.cfg.ID
+	r.PolicyRevision = d.holder.Revision()
+}
+
+func (d *Daemon) ingress(ctx context.Context, c *sycapb.Call, now time.Time) *sycapb.Reply {
+	a, refusal := d.inspect(c, now)
+	if refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	defer cancel()
+	if len(c.Ticket) == 0 {
+		return d.admitAndRun(ctx, a)
+	}
+	return d.ticketed(ctx, a)
+}
+
+// inspect checks an attempt before anything is spent on it.
+func (d *Daemon) inspect(c *sycapb.Call, now time.Time) (*arrival, *sycapb.Reply) {
+	refuse := func(why sycapb.Reason, detail string) (*arrival, *sycapb.Reply) {
+		return nil, action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, why, detail)
+	}
+	id, err := action.ParseID(c.ActionId)
+	if err != nil {
+		return nil, invalid(c, err)
+	}
+	switch {
+	case c.Service != d.cfg.Service:
+		return refuse(sycapb.Reason_REASON_UNREACHABLE, fmt.Sprintf("instance %s serves %q", d.cfg.ID, d.cfg.Service))
+	case d.leaving.Load() && len(c.Ticket) == 0:
+		return refuse(sycapb.Reason_REASON_LEAVING, "the instance is leaving")
+	case d.down.Load():
+		return refuse(sycapb.Reason_REASON_UNREACHABLE, "the backend server is down")
+	case c.TimeoutUs <= 0:
+		return refuse(sycapb.Reason_REASON_DEADLINE, "the deadline is past")
+	case action.Digest(c.Body) != c.Digest:
+		return nil, invalid(c, &action.InvalidError{Field: "digest", Problem: "does not match the body"})
+	case c.Allowance == 0:
+		r := action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_ALLOWANCE, "no runs are left for the action")
+		r.Starved = true
+		return nil, r
+	}
+	a := &arrival{
+		call:     c,
+		id:       id,
+		key:      action.KeyOf(c.Rank, id),
+		deadline: now.Add(time.Duration(c.TimeoutUs) * time.Microsecond),
+		print:    poison.PrintOf(c.Service, c.Method, c.Digest),
+	}
+	if d.full() && d.book.State(a.print) == poison.Quarantined {
+		return refuse(sycapb.Reason_REASON_QUARANTINED, "the request crashed backend servers and is quarantined")
+	}
+	return a, nil
+}
+
+// full reports whether the daemon controls, rather than being a baseline.
+func (d *Daemon) full() bool {
+	return d.cfg.Mode == admit.Full
+}
+
+// ticketed runs an unrepeatable call at most once and answers resends.
+func (d *Daemon) ticketed(ctx context.Context, a *arrival) *sycapb.Reply {
+	run, err := d.home.Begin(a.call.Ticket, a.call.Service, a.call.Method, a.call.Digest)
+	if err != nil {
+		return ticketRefusal(a.call, err)
+	}
+	if !run.First() {
+		return d.join(ctx, a, run)
+	}
+	a.run = run
+	// The reply is kept for resends, so the run goes on when this caller leaves.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.deadline)
+	defer cancel()
+	r := d.admitAndRun(ctx, a)
+	if r.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
+		run.Void(r)
+		return r
+	}
+	run.Finish(r)
+	return r
+}
+
+// join waits for the run that an earlier attempt with the same ticket began.
+func (d *Daemon) join(ctx context.Context, a *arrival, run *ticket.Run) *sycapb.Reply {
+	first, err := run.Wait(ctx)
+	if err != nil {
+		return action.Refusal(a.call, sycapb.Outcome_OUTCOME_UNKNOWN, sycapb.Reason_REASON_TICKET, "an earlier attempt is still running")
+	}
+	return &sycapb.Reply{
+		ActionId:  a.call.ActionId,
+		AttemptId: a.call.AttemptId,
+		Outcome:   first.Outcome,
+		Reason:    first.Reason,
+		Detail:    first.Detail,
+		Body:      first.Body,
+		Digest:    first.Digest,
+		Length:    first.Length,
+		Unspent:   a.call.Allowance,
+	}
+}
+
+func ticketRefusal(c *sycapb.Call, err error) *sycapb.Reply {
+	var bad *ticket.RefusedError
+	if errors.As(err, &bad) {
+		o := sycapb.Outcome_OUTCOME_NOTRUN
+		if bad.Spent {
+			o = sycapb.Outcome_OUTCOME_UNKNOWN
+		}
+		return action.Refusal(c, o, sycapb.Reason_REASON_TICKET, err.Error())
+	}
+	return invalid(c, err)
+}
+
+// admitAndRun passes the attempt through the gate and runs it.
+func (d *Daemon) admitAndRun(ctx context.Context, a *arrival) *sycapb.Reply {
+	release, refusal := d.isolate(ctx, a)
+	if refusal != nil {
+		return refusal
+	}
+	defer release()
+	pass, err := d.gate.Enter(ctx, a.id, a.key, a.deadline)
+	if err != nil {
+		return d.notAdmitted(a.call, err)
+	}
+	if a.run != nil {
+		a.run.Spend()
+	}
+	r, verdict := d.execute(ctx, a)
+	pass.Leave(verdict)
+	return r
+}
+
+// isolate lets suspects of a crash run one at a time.
+func (d *Daemon) isolate(ctx context.Context, a *arrival) (release func(), refusal *sycapb.Reply) {
+	if !d.full() || d.book.State(a.print) != poison.Suspect {
+		return func() {}, nil
+	}
+	select {
+	case d.suspects <- struct{}{}:
+	case <-ctx.Done():
+		return nil, action.Refusal(a.call, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_QUARANTINED, "suspects of a crash run one at a time")
+	}
+	if d.book.State(a.print) == poison.Quarantined {
+		<-d.suspects
+		return nil, action.Refusal(a.call, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_QUARANTINED, "the request crashed backend servers and is quarantined")
+	}
+	return func() { <-d.suspects }, nil
+}
+
+func (d *Daemon) notAdmitted(c *sycapb.Call, err error) *sycapb.Reply {
+	var late *admit.LateError
+	var shed *admit.ShedError
+	why := sycapb.Reason_REASON_CANCELLED
+	switch {
+	case errors.As(err, &shed):
+		why = sycapb.Reason_REASON_SHED
+	case errors.As(err, &late), errors.Is(err, context.DeadlineExceeded):
+		why = sycapb.Reason_REASON_DEADLINE
+	}
+	return action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, why, err.Error())
+}
+
+// execute runs the attempt at the backend server and says how it ended.
+func (d *Daemon) execute(ctx context.Context, a *arrival) (*sycapb.Reply, admit.Verdict) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	acc := allow.NewAccount(a.id, a.call.Allowance-1)
+	run := d.runs.add(ctx, a, acc)
+	answer, err := d.backend.Run(ctx, &sycapb.RunRequest{
+		RunId:     run.id,
+		ActionId:  a.call.ActionId,
+		Method:    a.call.Method,
+		Body:      a.call.Body,
+		TimeoutUs: time.Until(a.deadline).Microseconds(),
+	})
+	if err != nil && ctx.Err() == nil {
+		d.lost(run, err)
+	}
+	d.runs.remove(run)
+	r, verdict := d.conclude(ctx, run, answer, err)
+	r.Unspent = acc.Close()
+	r.Starved = run.starved.Load()
+	if r.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
+		r.Unspent = a.call.Allowance
+	}
+	return r, verdict
+}
+
+// conclude turns the backend server's answer, or its absence, into a reply.
+func (d *Daemon) conclude(ctx context.Context, run *run, answer *sycapb.RunReply, err error) (*sycapb.Reply, admit.Verdict) {
+	c := run.a.call
+	var dial *server.DialError
+	switch {
+	case errors.As(err, &dial) && !run.called.Load():
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_UNREACHABLE, err.Error()), admit.Lost
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_UNKNOWN, sycapb.Reason_REASON_CANCELLED, err.Error()), admit.Lost
+	case err != nil && ctx.Err() != nil:
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_UNKNOWN, sycapb.Reason_REASON_DEADLINE, err.Error()), admit.Lost
+	case err != nil:
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_UNKNOWN, sycapb.Reason_REASON_CRASHED, err.Error()), admit.Lost
+	case answer.Refused && !run.called.Load():
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_BACKEND, "the backend server refused the call"), admit.Refused
+	case answer.RunId != run.id || action.Digest(answer.Body) != answer.Digest:
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_FAILED, sycapb.Reason_REASON_BACKEND, "the answer is not whole"), admit.Ran
+	case answer.DeeperFailed:
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_FAILED, sycapb.Reason_REASON_DEEPER, answer.Error), admit.Ran
+	case answer.Error != "" || answer.Refused:
+		return action.Refusal(c, sycapb.Outcome_OUTCOME_FAILED, sycapb.Reason_REASON_BACKEND, answer.Error), admit.Ran
+	}
+	d.cleared(run.a.print)
+	r := action.Refusal(c, sycapb.Outcome_OUTCOME_DONE, sycapb.Reason_REASON_UNSPECIFIED, "")
+	r.Body = answer.Body
+	r.Digest = answer.Digest
+	r.Length = uint32(len(answer.Body))
+	return r, admit.Ran
+}
+
+// cleared lifts the suspicion from a request that ran well.
+func (d *Daemon) cleared(p poison.Print) {
+	if d.book.State(p) == poison.Suspect {
+		d.book.Lift(p)
+	}
+}
+
+func invalid(c *sycapb.Call, err error) *sycapb.Reply {
+	r := action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_INVALID, err.Error())
+	var bad *action.InvalidError
+	if errors.As(err, &bad) {
+		r.Field = bad.Field
+	}
+	return r
+}
--- /dev/null
+++ b/daemon/members.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"sycamorespread.dev/member"
+	"sycamorespread.dev/route"
+	"sycamorespread.dev/server"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// seedsPerZone is the number of daemons of a zone that are listed in the platform.
+	seedsPerZone = 3
+	// watchersPerZone is the number of daemons of a zone that watch the policy head.
+	watchersPerZone = 2
+	// seedTTL is the lease of a seed record.
+	seedTTL = 30 * time.Second
+	// seedEvery is the time between two renewals.
+	seedEvery = 10 * time.Second
+	// joinEvery is the time between two tries to find a first member.
+	joinEvery = 500 * time.Millisecond
+	// routeGap is the least time between two rebuilds of the route table.
+	routeGap = 20 * time.Millisecond
+
+	seedPrefix = "seed/"
+)
+
+func (d *Daemon) memberConfig() member.Config {
+	return member.Config{
+		Self: &sycapb.MemberEntry{
+			Id:          d.cfg.ID,
+			Incarnation: d.incarnation,
+			Service:     d.cfg.Service,
+			Region:      d.cfg.Region,
+			Zone:        d.cfg.Zone,
+			Addr:        d.cfg.Advertise.String(),
+			Http:        d.cfg.HTTP.String(),
+			Slots:       uint32(d.cfg.Slots),
+		},
+		Probe:    d.cfg.Probe,
+		Now:      time.Now,
+		Revision: d.holder.Revision,
+		Behind:   d.behind,
+		Poison:   d.book.Merge,
+		Changed:  d.routesChanged,
+		Exchange: d.exchange,
+	}
+}
+
+func (d *Daemon) exchange(ctx context.Context, addr netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	return d.peers.Sync(ctx, addr, req)
+}
+
+func udpConn(c *net.UDPConn) member.Conn {
+	return member.Conn{
+		Read: c.ReadFromUDPAddrPort,
+		Write: func(b []byte, to netip.AddrPort) error {
+			_, err := c.WriteToUDPAddrPort(b, to)
+			return err
+		},
+		Close: c.Close,
+	}
+}
+
+// routesChanged asks for a rebuild of the route table.
+func (d *Daemon) routesChanged() {
+	select {
+	case d.routesStale <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) routeLoop(ctx context.Context) error {
+	d.table.Update(d.targets())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.routesStale:
+		}
+		d.table.Update(d.targets())
+		sleep(ctx, routeGap)
+	}
+}
+
+// targets returns the members of this region that may take work, this daemon
+// included.
+func (d *Daemon) targets() []route.Target {
+	var list []route.Target
+	add := func(e *sycapb.MemberEntry, addr netip.AddrPort) {
+		if e.Leaving || e.Down || e.State != sycapb.MemberState_MEMBER_STATE_ALIVE || e.Region != d.cfg.Region {
+			return
+		}
+		list = append(list, route.Target{
+			ID:          e.Id,
+			Incarnation: e.Incarnation,
+			Addr:        addr,
+			Service:     e.Service,
+			Zone:        e.Zone,
+			Slots:       int(e.Slots),
+		})
+	}
+	for _, r := range d.node.Rows() {
+		add(r.Entry, r.Addr)
+	}
+	add(d.node.Self(), d.cfg.Addr)
+	return list
+}
+
+// joinLoop contacts the first members: those of the settings and the seeds of
+// the platform. It goes on as long as no other member is known.
+func (d *Daemon) joinLoop(ctx context.Context) error {
+	for {
+		known := d.node.Rows()
+		if len(known) == 0 {
+			d.node.Join(ctx, d.firstContacts(ctx))
+		}
+		if !sleep(ctx, joinEvery) {
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) firstContacts(ctx context.Context) []netip.AddrPort {
+	list := slices.Clone(d.cfg.Peers)
+	if d.platform == nil {
+		return list
+	}
+	items, err := d.platform.List(ctx, seedPrefix+d.cfg.Region+"/")
+	if err != nil {
+		d.log.WithField("err", err).Debug("seeds not read")
+		return list
+	}
+	for _, item := range items {
+		e := new(sycapb.MemberEntry)
+		if proto.Unmarshal(item.Value, e) != nil || e.Id == d.cfg.ID {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(e.Addr); err == nil {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// rank returns this daemon's place among the live ones of its zone, by ID.
+func (d *Daemon) rank() int {
+	rank := 0
+	for _, r := range d.node.Rows() {
+		e := r.Entry
+		if e.Zone == d.cfg.Zone && e.Region == d.cfg.Region && e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !e.Leaving && e.Id < d.cfg.ID {
+			rank++
+		}
+	}
+	return rank
+}
+
+// seedLoop keeps a seed record in the platform while this daemon is among the
+// first of its zone.
+func (d *Daemon) seedLoop(ctx context.Context) error {
+	if d.platform == nil {
+		return nil
+	}
+	var lease uint64
+	for wait := time.Second; sleep(ctx, wait); wait = seedEvery {
+		if d.rank() >= seedsPerZone || d.leaving.Load() {
+			lease = 0
+			continue
+		}
+		next, err := d.keepSeed(ctx, lease)
+		if err != nil {
+			d.log.WithField("err", err).Debug("seed not kept")
+		}
+		lease = next
+	}
+	return nil
+}
+
+// keepSeed renews the seed record, or writes it anew when its lease is gone.
+func (d *Daemon) keepSeed(ctx context.Context, lease uint64) (uint64, error) {
+	if lease != 0 {
+		alive, err := d.platform.Renew(ctx, lease)
+		if err != nil || alive {
+			return lease, err
+		}
+	}
+	lease, err := d.platform.Grant(ctx, seedTTL)
+	if err != nil {
+		return 0, err
+	}
+	key := seedPrefix + d.cfg.Region + "/" + d.cfg.Zone + "/" + d.cfg.ID
+	b, err := proto.Marshal(d.node.Self())
+	if err != nil {
+		return 0, err
+	}
+	old, err := d.platform.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	_, err = d.platform.Put(ctx, key, b, old.Version, lease)
+	return lease, err
+}
+
+func isDial(err error) bool {
+	var dial *server.DialError
+	return errors.As(err, &dial)
+}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,337 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"sycamorespread.dev/burn"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/policy"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// defaultForceWait is how long an accept waits for the zones.
+	defaultForceWait = 3 * time.Second
+	// forcePoll is how often it asks the members.
+	forcePoll = 100 * time.Millisecond
+	// burnWait bounds the question to one member for its burn counts.
+	burnWait = time.Second
+	// burnFan bounds the members asked at once.
+	burnFan = 32
+)
+
+func (d *Daemon) needPlatform() error {
+	if d.registry == nil {
+		return connect.NewError(connect.CodeFailedPrecondition, errors.New("the settings of this daemon name no platform; ask another daemon"))
+	}
+	return nil
+}
+
+// rpcError gives an error of the registry its connect code.
+func rpcError(err error) error {
+	var line *policy.LineError
+	var refused *policy.RefusedError
+	var conflict *policy.ConflictError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &line):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.As(err, &refused):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.As(err, &conflict):
+		return connect.NewError(connect.CodeAborted, err)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+// Propose implements the schema's Operator service.
+func (d *Daemon) Propose(ctx context.Context, req *connect.Request[sycapb.ProposeRequest]) (*connect.Response[sycapb.ProposeReply], error) {
+	if err := d.needPlatform(); err != nil {
+		return nil, err
+	}
+	c, err := d.registry.Propose(ctx, req.Msg.Author, req.Msg.Summary, req.Msg.Text)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	d.log.WithFields(logrus.Fields{"change": c.Id, "author": c.Author}).Info("policy proposed")
+	return connect.NewResponse(&sycapb.ProposeReply{Change: c}), nil
+}
+
+// Review implements the schema's Operator service.
+func (d *Daemon) Review(ctx context.Context, req *connect.Request[sycapb.ReviewRequest]) (*connect.Response[sycapb.ReviewReply], error) {
+	if err := d.needPlatform(); err != nil {
+		return nil, err
+	}
+	c, err := d.registry.Review(ctx, req.Msg.ChangeId, req.Msg.Review)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(&sycapb.ReviewReply{Change: c}), nil
+}
+
+// Accept implements the schema's Operator service.
+func (d *Daemon) Accept(ctx context.Context, req *connect.Request[sycapb.AcceptRequest]) (*connect.Response[sycapb.AcceptReply], error) {
+	if err := d.needPlatform(); err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	rev, err := d.acceptChange(ctx, req.Msg.ChangeId)
+	reply := acceptReply(rev, err)
+	if reply == nil {
+		return nil, rpcError(err)
+	}
+	d.log.WithFields(logrus.Fields{"change": req.Msg.ChangeId, "author": req.Msg.Author, "result": reply.Result, "revision": rev}).Info("policy accept")
+	if reply.Result == sycapb.AcceptResult_ACCEPT_RESULT_ACCEPTED {
+		wait := defaultForceWait
+		if req.Msg.WaitMs > 0 {
+			wait = time.Duration(req.Msg.WaitMs) * time.Millisecond
+		}
+		reply.Zones = d.awaitForce(ctx, rev, wait)
+		reply.ForceMs = time.Since(start).Milliseconds()
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// acceptChange accepts a change unless the platform is older than this daemon.
+func (d *Daemon) acceptChange(ctx context.Context, id string) (uint64, error) {
+	item, err := d.platform.Get(ctx, policy.HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	head, err := policy.ParseHead(item.Value)
+	if err != nil {
+		return 0, err
+	}
+	if have := d.holder.Revision(); head.Revision < have {
+		return 0, &policy.RefusedError{Problem: errors.Errorf("the platform is at revision %d but revision %d is in force: restore the platform first", head.Revision, have).Error()}
+	}
+	rev, err := d.registry.Accept(ctx, id)
+	if err == nil {
+		d.readHead(ctx)
+	}
+	return rev, err
+}
+
+// acceptReply tells the operator how an accept ended; nil when the error says
+// it better.
+func acceptReply(rev uint64, err error) *sycapb.AcceptReply {
+	var conflict *policy.ConflictError
+	var refused *policy.RefusedError
+	var unsettled *policy.UnsettledError
+	switch {
+	case err == nil:
+		return &sycapb.AcceptReply{Result: sycapb.AcceptResult_ACCEPT_RESULT_ACCEPTED, Revision: rev}
+	case errors.As(err, &conflict):
+		return &sycapb.AcceptReply{Result: sycapb.AcceptResult_ACCEPT_RESULT_CONFLICT, Winner: conflict.Winner, Detail: err.Error()}
+	case errors.As(err, &refused):
+		return &sycapb.AcceptReply{Result: sycapb.AcceptResult_ACCEPT_RESULT_REFUSED, Detail: err.Error()}
+	case errors.As(err, &unsettled):
+		return &sycapb.AcceptReply{Result: sycapb.AcceptResult_ACCEPT_RESULT_UNKNOWN, Detail: err.Error()}
+	}
+	return nil
+}
+
+// awaitForce waits until every live member has the revision, at most for
+// wait, and returns the counts of each zone.
+func (d *Daemon) awaitForce(ctx context.Context, rev uint64, wait time.Duration) []*sycapb.ZoneForce {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		zones, all := d.force(rev)
+		if all || ctx.Err() != nil {
+			return zones
+		}
+		d.node.Poll(rev)
+		sleep(ctx, forcePoll)
+	}
+}
+
+func (d *Daemon) force(rev uint64) (zones []*sycapb.ZoneForce, all bool) {
+	byZone := map[string]*sycapb.ZoneForce{}
+	all = true
+	count := func(e *sycapb.MemberEntry, has bool) {
+		z, ok := byZone[e.Zone]
+		if !ok {
+			z = &sycapb.ZoneForce{Zone: e.Zone}
+			byZone[e.Zone] = z
+			zones = append(zones, z)
+		}
+		z.Members++
+		if has {
+			z.InForce++
+		}
+		all = all && has
+	}
+	count(d.node.Self(), d.holder.Revision() >= rev)
+	for _, r := range d.node.Rows() {
+		if r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD {
+			count(r.Entry, r.Revision >= rev)
+		}
+	}
+	return zones, all
+}
+
+// History implements the schema's Operator service.
+func (d *Daemon) History(ctx context.Context, req *connect.Request[sycapb.HistoryRequest]) (*connect.Response[sycapb.HistoryReply], error) {
+	if err := d.needPlatform(); err != nil {
+		return nil, err
+	}
+	head, changes, err := d.registry.History(ctx, int(req.Msg.Limit))
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(&sycapb.HistoryReply{Head: head, Changes: changes}), nil
+}
+
+// Policy implements the schema's Operator service.
+func (d *Daemon) Policy(context.Context, *connect.Request[sycapb.PolicyRequest]) (*connect.Response[sycapb.PolicyReply], error) {
+	p := d.holder.Policy()
+	if p == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("no policy is in force yet; propose and accept one"))
+	}
+	return connect.NewResponse(&sycapb.PolicyReply{Revision: p.Revision, ChangeId: p.ChangeID, Text: p.Text}), nil
+}
+
+// Members implements the schema's Operator service.
+func (d *Daemon) Members(context.Context, *connect.Request[sycapb.MembersRequest]) (*connect.Response[sycapb.MembersReply], error) {
+	rows := []*sycapb.MemberRow{{Entry: d.node.Self(), PolicyRevision: d.holder.Revision()}}
+	members := d.node.Rows()
+	live := map[string]bool{d.cfg.Zone: true}
+	for _, r := range members {
+		if r.Entry.State == sycapb.MemberState_MEMBER_STATE_ALIVE {
+			live[r.Entry.Zone] = true
+		}
+	}
+	for _, r := range members {
+		rows = append(rows, &sycapb.MemberRow{Entry: r.Entry, Cut: !live[r.Entry.Zone], PolicyRevision: r.Revision})
+	}
+	return connect.NewResponse(&sycapb.MembersReply{Members: rows}), nil
+}
+
+func (d *Daemon) localBurn(*sycapb.BurnRequest) *sycapb.BurnReply {
+	return &sycapb.BurnReply{
+		ShortMs:  burn.Short.Milliseconds(),
+		LongMs:   burn.Long.Milliseconds(),
+		StepMs:   burn.Step.Milliseconds(),
+		Rows:     d.report.Rows(),
+		Asked:    1,
+		Answered: 1,
+	}
+}
+
+// Burn implements the schema's Operator service.
+func (d *Daemon) Burn(ctx context.Context, req *connect.Request[sycapb.BurnRequest]) (*connect.Response[sycapb.BurnReply], error) {
+	reply := d.localBurn(req.Msg)
+	if req.Msg.Local {
+		return connect.NewResponse(reply), nil
+	}
+	var lists [][]*sycapb.BurnRow
+	for _, r := range d.askBurn(ctx) {
+		reply.Asked++
+		if r != nil {
+			reply.Answered++
+			lists = append(lists, r.Rows)
+		}
+	}
+	reply.Rows = burn.Merge(append(lists, reply.Rows)...)
+	return connect.NewResponse(reply), nil
+}
+
+// askBurn asks every live member for its counts; a member that does not answer
+// leaves a nil.
+func (d *Daemon) askBurn(ctx context.Context) []*sycapb.BurnReply {
+	rows := d.node.Rows()
+	replies := make([]*sycapb.BurnReply, 0, len(rows))
+	var g errgroup.Group
+	g.SetLimit(burnFan)
+	for _, r := range rows {
+		if r.Entry.State >= sycapb.MemberState_MEMBER_STATE_DEAD {
+			continue
+		}
+		i := len(replies)
+		replies = append(replies, nil)
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, burnWait)
+			defer cancel()
+			reply, err := d.peers.LocalBurn(ctx, r.Addr, &sycapb.BurnRequest{Local: true})
+			if err == nil {
+				replies[i] = reply
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return replies
+}
+
+// Quarantine implements the schema's Operator service.
+func (d *Daemon) Quarantine(context.Context, *connect.Request[sycapb.QuarantineRequest]) (*connect.Response[sycapb.QuarantineReply], error) {
+	var rows []*sycapb.QuarantineRow
+	for _, e := range d.book.Entries() {
+		state := d.book.State(poison.Print(e.Fingerprint))
+		if state == poison.Clear {
+			continue
+		}
+		rows = append(rows, &sycapb.QuarantineRow{
+			Fingerprint: e.Fingerprint,
+			Service:     e.Service,
+			Method:      e.Method,
+			Crashes:     e.Crashes,
+			Quarantined: state == poison.Quarantined,
+		})
+	}
+	return connect.NewResponse(&sycapb.QuarantineReply{Rows: rows}), nil
+}
+
+// Lift implements the schema's Operator service.
+func (d *Daemon) Lift(_ context.Context, req *connect.Request[sycapb.LiftRequest]) (*connect.Response[sycapb.LiftReply], error) {
+	found := d.book.Lift(poison.Print(req.Msg.Fingerprint))
+	return connect.NewResponse(&sycapb.LiftReply{Found: found}), nil
+}
+
+// Leave implements the schema's Operator service.
+func (d *Daemon) Leave(ctx context.Context, _ *connect.Request[sycapb.LeaveRequest]) (*connect.Response[sycapb.LeaveReply], error) {
+	d.startLeaving()
+	if err := d.backend.Drain(ctx); err != nil {
+		d.log.WithField("err", err).Warn("backend server did not take the drain")
+	}
+	return connect.NewResponse(&sycapb.LeaveReply{Inflight: uint32(d.inflight.Load())}), nil
+}
+
+// Metrics implements the schema's Operator service.
+func (d *Daemon) Metrics(context.Context, *connect.Request[sycapb.MetricsRequest]) (*connect.Response[sycapb.MetricsReply], error) {
+	d.gauges()
+	return connect.NewResponse(&sycapb.MetricsReply{Metrics: d.stats.Read()}), nil
+}
+
+// gauges writes the present state into the metrics.
+func (d *Daemon) gauges() {
+	s := d.gate.Stats()
+	in, out := d.node.Traffic()
+	values := map[string]float64{
+		"gate.inflight":    float64(s.Inflight),
+		"gate.queued":      float64(s.Queued),
+		"gate.limit":       float64(s.Limit),
+		"gate.level":       float64(d.gate.Level()),
+		"members":          float64(len(d.node.Rows()) + 1),
+		"member.bytes_in":  float64(in),
+		"member.bytes_out": float64(out),
+		"policy.revision":  float64(d.holder.Revision()),
+		"tickets.held":     float64(d.home.Held()),
+		"actions.held":     float64(d.actions.Len()),
+		"peer.dials":       float64(d.peers.Dials()),
+	}
+	if d.platform != nil {
+		c := d.platform.Counts()
+		values["platform.reads"] = float64(c.Reads)
+		values["platform.writes"] = float64(c.Writes)
+		values["platform.watches"] = float64(c.Watches)
+	}
+	d.stats.Gauges(values)
+}
--- /dev/null
+++ b/daemon/policy.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"sycamorespread.dev/policy"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// watchPause is the pause before a broken watch is opened again.
+	watchPause = time.Second
+	// pullWait bounds one pull from a peer.
+	pullWait = time.Second
+)
+
+// pull names a peer that has a higher revision.
+type pull struct {
+	addr     netip.AddrPort
+	revision uint64
+}
+
+func readPolicy(file string) (*policy.Policy, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Parse(string(b))
+}
+
+// offer puts a policy in force when it is newer, and tells the members.
+func (d *Daemon) offer(p *policy.Policy, from string) {
+	if !d.holder.Offer(p) {
+		return
+	}
+	d.log.WithFields(logrus.Fields{"revision": p.Revision, "change": p.ChangeID, "from": from}).Info("policy in force")
+	d.node.AnnounceRevision()
+}
+
+// behind notes that a peer has a higher revision.
+func (d *Daemon) behind(addr netip.AddrPort, revision uint64) {
+	select {
+	case d.pulls <- pull{addr: addr, revision: revision}:
+	default:
+	}
+}
+
+// pullLoop fetches newer policies from the peers that have them.
+func (d *Daemon) pullLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-d.pulls:
+			d.pullFrom(ctx, p)
+		}
+	}
+}
+
+func (d *Daemon) pullFrom(ctx context.Context, from pull) {
+	have := d.holder.Revision()
+	if from.revision <= have {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullWait)
+	defer cancel()
+	r, err := d.peers.Pull(ctx, from.addr, &sycapb.PullRequest{Have: have})
+	if err != nil || r.Revision <= have {
+		d.log.WithFields(logrus.Fields{"peer": from.addr, "err": err}).Debug("policy not pulled")
+		return
+	}
+	p, err := policy.Accepted(r.Revision, r.ChangeId, r.Text)
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"peer": from.addr, "err": err}).Error("peer has a policy that fails its checks")
+		return
+	}
+	d.offer(p, from.addr.String())
+}
+
+// givePolicy answers a pull.
+func (d *Daemon) givePolicy(req *sycapb.PullRequest) *sycapb.PullReply {
+	p := d.holder.Policy()
+	if p == nil || p.Revision <= req.Have {
+		return &sycapb.PullReply{Revision: d.holder.Revision()}
+	}
+	return &sycapb.PullReply{Revision: p.Revision, ChangeId: p.ChangeID, Text: p.Text}
+}
+
+// watchLoop watches the policy head while this daemon is among the first of
+// its zone, and reads it once when it knows no policy yet.
+func (d *Daemon) watchLoop(ctx context.Context) error {
+	if d.platform == nil {
+		return nil
+	}
+	for {
+		if d.rank() < watchersPerZone {
+			err := d.watchHead(ctx)
+			d.log.WithField("err", err).Debug("watch ended")
+		} else if d.holder.Policy() == nil {
+			d.readHead(ctx)
+		}
+		if !sleep(ctx, watchPause) {
+			return nil
+		}
+	}
+}
+
+// watchHead follows the head until the watch breaks or another daemon of the
+// zone takes over.
+func (d *Daemon) watchHead(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	return d.platform.Watch(ctx, policy.HeadKey, func(item *sycapb.Item) {
+		d.follow(ctx, item)
+		if d.rank() >= watchersPerZone {
+			cancel()
+		}
+	})
+}
+
+func (d *Daemon) readHead(ctx context.Context) {
+	item, err := d.platform.Get(ctx, policy.HeadKey)
+	if err != nil {
+		d.log.WithField("err", err).Debug("policy head not read")
+		return
+	}
+	d.follow(ctx, item)
+}
+
+// follow takes the policy that a head names when it is newer. An older head
+// is reported, not followed.
+func (d *Daemon) follow(ctx context.Context, item *sycapb.Item) {
+	head, err := policy.ParseHead(item.Value)
+	if err != nil {
+		d.log.WithField("err", err).Error("policy head cannot be read")
+		return
+	}
+	have := d.holder.Revision()
+	if head.Revision < have {
+		d.stats.OldHead()
+		d.log.WithFields(logrus.Fields{"head": head.Revision, "in_force": have}).Error("the platform has an older policy head than the one in force")
+		return
+	}
+	if head.Revision == have {
+		return
+	}
+	for head.Revision > d.holder.Revision() {
+		p, err := d.registry.Load(ctx, head)
+		if err == nil {
+			d.offer(p, "platform")
+			return
+		}
+		d.log.WithField("err", err).Warn("policy not loaded")
+		if !sleep(ctx, watchPause/5) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/daemon/runs.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/allow"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/route"
+)
+
+// run is one call in progress at the backend server.
+type run struct {
+	id  uint64
+	ctx context.Context //nolint:containedctx // A run's deeper calls arrive on other requests.
+	a   *arrival
+	acc *allow.Account
+	// called tells that the run made a deeper call.
+	called atomic.Bool
+	// starved tells that a deeper call was refused for want of allowance.
+	starved atomic.Bool
+
+	mu  sync.Mutex
+	nth map[uint64]int
+}
+
+// path returns the hash that names the next deeper call of a method with a
+// body digest, the same whenever the run is repeated.
+func (r *run) path(service, method string, digest uint64) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	base := xxhash.Sum64String(fmt.Sprintf("%x/%s.%s/%x", r.a.call.Path, service, method, digest))
+	n := r.nth[base]
+	r.nth[base] = n + 1
+	return xxhash.Sum64String(fmt.Sprintf("%x#%d", base, n))
+}
+
+// runs holds the calls in progress by run ID.
+type runs struct {
+	mu sync.Mutex
+	m  map[uint64]*run
+}
+
+func newRuns() *runs {
+	return &runs{m: map[uint64]*run{}}
+}
+
+func (s *runs) add(ctx context.Context, a *arrival, acc *allow.Account) *run {
+	r := &run{id: rand.Uint64(), ctx: ctx, a: a, acc: acc, nth: map[uint64]int{}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m[r.id] = r
+	return r
+}
+
+func (s *runs) remove(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.m, r.id)
+}
+
+func (s *runs) find(id uint64) (*run, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.m[id]
+	return r, ok
+}
+
+// requests returns the fingerprints of all calls in progress.
+func (s *runs) requests() []poison.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]poison.Request, 0, len(s.m))
+	for _, r := range s.m {
+		list = append(list, poison.Request{Service: r.a.call.Service, Method: r.a.call.Method, Print: r.a.print})
+	}
+	return list
+}
+
+// deeps remembers which deeper methods each method of the backend server
+// calls, so that their levels reach the callers of that method.
+type deeps struct {
+	mu sync.Mutex
+	m  map[string]map[deeper]time.Time
+}
+
+type deeper struct {
+	service, method string
+}
+
+// deepKeep is how long a deeper method counts after its last call.
+const deepKeep = 2 * time.Second
+
+func newDeeps() *deeps {
+	return &deeps{m: map[string]map[deeper]time.Time{}}
+}
+
+func (s *deeps) note(method string, to deeper) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.m[method] == nil {
+		s.m[method] = map[deeper]time.Time{}
+	}
+	s.m[method][to] = time.Now()
+}
+
+// level returns the strictest level among the deeper methods of a method.
+func (s *deeps) level(method string, t *route.Table) action.Level {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	level := action.Open
+	for to, at := range s.m[method] {
+		if time.Since(at) > deepKeep {
+			delete(s.m[method], to)
+			continue
+		}
+		level = min(level, t.Level(to.service, to.method))
+	}
+	return level
+}
--- /dev/null
+++ b/member/gossip.go
@@ -0,0 +1,193 @@
+package member
+
+import (
+	"context"
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"sycamorespread.dev/sycapb"
+)
+
+// sendsPerLog is the number of ticks for which news is sent, per doubling of the members.
+const sendsPerLog = 2
+
+// sends returns for how many packets news is repeated among n members.
+func sends(n int) int {
+	return sendsPerLog * (bits.Len(uint(n)) + 1) * gossipFan / 2
+}
+
+// news counts how often each changed entry is still to be sent.
+type news struct {
+	left map[string]int
+}
+
+func (w *news) add(id string, n int) {
+	w.left[id] = n
+}
+
+func (w *news) sent(id string) {
+	w.left[id]--
+	if w.left[id] <= 0 {
+		delete(w.left, id)
+	}
+}
+
+func (n *Node) gossipLoop(ctx context.Context) error {
+	t := time.NewTicker(gossipEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			n.spread()
+		}
+	}
+}
+
+// spread sends the news, if there is any, to a few random members.
+func (n *Node) spread() {
+	n.mu.Lock()
+	n.forget()
+	if len(n.news.left) == 0 && n.announce <= 0 && len(n.poisons) == 0 {
+		n.mu.Unlock()
+		return
+	}
+	to := n.pickLive(gossipFan, "")
+	n.mu.Unlock()
+	for _, addr := range to {
+		n.send(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP})
+	}
+}
+
+// pickLive returns the addresses of up to k random members that are not dead,
+// other than the one named; n.mu is held.
+func (n *Node) pickLive(k int, except string) []netip.AddrPort {
+	live := make([]netip.AddrPort, 0, len(n.rows))
+	for id, r := range n.rows {
+		if id != except && r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD {
+			live = append(live, r.Addr)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(k, len(live))]
+}
+
+// send fills a packet with news up to maxPacket and sends it.
+func (n *Node) send(to netip.AddrPort, p *sycapb.Packet) {
+	n.mu.Lock()
+	n.fill(p)
+	b, err := proto.Marshal(p)
+	n.out += uint64(len(b))
+	n.mu.Unlock()
+	if err != nil {
+		return
+	}
+	// A lost packet is made up for by later ones.
+	_ = n.conn.Write(b, to)
+}
+
+// fill adds the sender, the revision and news; n.mu is held.
+func (n *Node) fill(p *sycapb.Packet) {
+	p.From = n.self.Id
+	p.FromAddr = n.self.Addr
+	p.PolicyRevision = n.cfg.Revision()
+	if n.announce > 0 {
+		n.announce--
+	}
+	size := proto.Size(p)
+	for id := range n.news.left {
+		e := n.entry(id)
+		if e == nil {
+			delete(n.news.left, id)
+			continue
+		}
+		size += proto.Size(e) + 4
+		if size > maxPacket {
+			return
+		}
+		p.Entries = append(p.Entries, e)
+		n.news.sent(id)
+	}
+	n.fillPoisons(p, size)
+}
+
+func (n *Node) fillPoisons(p *sycapb.Packet, size int) {
+	for fp, w := range n.poisons {
+		size += proto.Size(w.entry) + 4
+		if size > maxPacket {
+			return
+		}
+		p.Poisons = append(p.Poisons, w.entry)
+		w.left--
+		if w.left <= 0 {
+			delete(n.poisons, fp)
+		}
+	}
+}
+
+// receive handles packets until the socket closes.
+func (n *Node) receive(ctx context.Context) error {
+	b := make([]byte, 64<<10)
+	for {
+		size, _, err := n.conn.Read(b)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		p := new(sycapb.Packet)
+		if proto.Unmarshal(b[:size], p) != nil {
+			continue
+		}
+		n.handle(ctx, p, size)
+	}
+}
+
+func (n *Node) handle(ctx context.Context, p *sycapb.Packet, size int) {
+	from, err := netip.ParseAddrPort(p.FromAddr)
+	if err != nil {
+		return
+	}
+	n.Merge(p.Entries)
+	n.heard(p, size)
+	for _, e := range p.Poisons {
+		if n.cfg.Poison != nil {
+			n.cfg.Poison(e)
+		}
+	}
+	if n.cfg.Behind != nil && p.PolicyRevision > n.cfg.Revision() {
+		n.cfg.Behind(from, p.PolicyRevision)
+	}
+	switch p.Kind {
+	case sycapb.Packet_KIND_PING:
+		n.send(from, &sycapb.Packet{Kind: sycapb.Packet_KIND_ACK, Seq: p.Seq})
+	case sycapb.Packet_KIND_ACK:
+		n.acked(p.Seq)
+	case sycapb.Packet_KIND_PINGREQ:
+		n.relay(ctx, from, p)
+	case sycapb.Packet_KIND_GOSSIP:
+	}
+}
+
+// heard notes the sender's revision, and tells a sender that is taken for
+// dead or suspect so that it refutes.
+func (n *Node) heard(p *sycapb.Packet, size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.in += uint64(size)
+	r, ok := n.rows[p.From]
+	if !ok {
+		// Tells an unknown sender of this daemon, so that they exchange entries.
+		n.news.add(n.self.Id, sends(len(n.rows)))
+		return
+	}
+	r.Revision = max(r.Revision, p.PolicyRevision)
+	if r.Entry.State != sycapb.MemberState_MEMBER_STATE_ALIVE && p.Kind != sycapb.Packet_KIND_ACK {
+		n.news.add(p.From, sends(len(n.rows)))
+	}
+}
--- /dev/null
+++ b/member/merge.go
@@ -0,0 +1,126 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+
+	"google.golang.org/protobuf/proto"
+	"sycamorespread.dev/sycapb"
+)
+
+// Newer orders two entries of one member: by incarnation, epoch, then state.
+// It returns a positive number when a supersedes b.
+func Newer(a, b *sycapb.MemberEntry) int {
+	return cmp.Or(
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Epoch, b.Epoch),
+		cmp.Compare(a.State, b.State),
+	)
+}
+
+// Merge takes entries heard from another daemon and spreads those that are
+// news.
+func (n *Node) Merge(entries []*sycapb.MemberEntry) {
+	changed := false
+	n.mu.Lock()
+	for _, e := range entries {
+		if n.merge(e) {
+			changed = true
+		}
+	}
+	n.mu.Unlock()
+	if changed && n.cfg.Changed != nil {
+		n.cfg.Changed()
+	}
+}
+
+// merge takes one entry and reports whether it was news; n.mu is held.
+func (n *Node) merge(e *sycapb.MemberEntry) bool {
+	if e.GetId() == n.self.Id {
+		n.refute(e)
+		return false
+	}
+	addr, err := netip.ParseAddrPort(e.GetAddr())
+	if err != nil || e.Id == "" {
+		return false
+	}
+	old, ok := n.rows[e.Id]
+	if ok && Newer(e, old.Entry) <= 0 {
+		return false
+	}
+	gone := e.State >= sycapb.MemberState_MEMBER_STATE_DEAD
+	if !ok && e.State == sycapb.MemberState_MEMBER_STATE_LEFT {
+		return false
+	}
+	row := &Row{Entry: proto.Clone(e).(*sycapb.MemberEntry), Addr: addr, Since: n.cfg.Now()}
+	if ok {
+		row.Revision = old.Revision
+		delete(n.byAddr, old.Entry.Addr)
+	}
+	n.rows[e.Id] = row
+	n.byAddr[e.Addr] = e.Id
+	if ok || !gone {
+		n.news.add(e.Id, sends(len(n.rows)))
+	}
+	return true
+}
+
+// refute answers an entry about this daemon itself that is not its own.
+func (n *Node) refute(e *sycapb.MemberEntry) {
+	if Newer(e, n.self) <= 0 {
+		return
+	}
+	if e.Incarnation > n.self.Incarnation {
+		n.self.Incarnation = e.Incarnation
+	}
+	n.self.Epoch = max(n.self.Epoch, e.Epoch) + 1
+	n.news.add(n.self.Id, sends(len(n.rows)))
+}
+
+// entry returns what is known of a member, or of this daemon; n.mu is held.
+func (n *Node) entry(id string) *sycapb.MemberEntry {
+	if id == n.self.Id {
+		return n.self
+	}
+	if r, ok := n.rows[id]; ok {
+		return r.Entry
+	}
+	return nil
+}
+
+// setState moves a member that still has the given entry to a state, as seen
+// by this node.
+func (n *Node) setState(id string, seen *sycapb.MemberEntry, s sycapb.MemberState) bool {
+	n.mu.Lock()
+	r, ok := n.rows[id]
+	moved := false
+	if ok && r.Entry.Incarnation == seen.Incarnation && r.Entry.Epoch == seen.Epoch && r.Entry.State < s {
+		next := proto.Clone(r.Entry).(*sycapb.MemberEntry)
+		next.State = s
+		moved = n.merge(next)
+	}
+	n.mu.Unlock()
+	if moved && n.cfg.Changed != nil {
+		n.cfg.Changed()
+	}
+	return moved
+}
+
+// forget drops members that are gone for long; n.mu is held.
+func (n *Node) forget() {
+	now := n.cfg.Now()
+	for id, r := range n.rows {
+		keep := deadKeep
+		switch r.Entry.State {
+		case sycapb.MemberState_MEMBER_STATE_LEFT:
+			keep = leftKeep
+		case sycapb.MemberState_MEMBER_STATE_DEAD:
+		default:
+			continue
+		}
+		if now.Sub(r.Since) > keep {
+			delete(n.rows, id)
+			delete(n.byAddr, r.Entry.Addr)
+		}
+	}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,160 @@
+// Package peer carries calls between daemons over drpc.
+//
+// drpc runs one call at a time on a connection, so a Client keeps a bounded
+// pool of idle connections for each peer. A connection whose call was
+// cancelled or failed is closed and never used again; a late answer can
+// therefore not reach another call. Errors tell whether the call may have
+// reached the peer.
+//
+//	c := peer.New(peer.Config{Idle: 64, IdleFor: time.Minute})
+//	reply, err := c.Forward(ctx, addr, call)
+//	var dial *peer.DialError
+//	if errors.As(err, &dial) {
+//		// nothing was sent
+//	}
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+	"sycamorespread.dev/sycapb"
+)
+
+// dialTimeout bounds the time to connect.
+const dialTimeout = 500 * time.Millisecond
+
+// DialError reports a peer that could not be reached; nothing was sent.
+type DialError struct {
+	Addr netip.AddrPort
+	Err  error
+}
+
+func (e *DialError) Error() string {
+	return fmt.Sprintf("connect to daemon %s: %v", e.Addr, e.Err)
+}
+
+func (e *DialError) Unwrap() error {
+	return e.Err
+}
+
+// LostError reports a call without an answer; the peer may have served it.
+type LostError struct {
+	Addr netip.AddrPort
+	Err  error
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("answer of daemon %s lost: %v", e.Addr, e.Err)
+}
+
+func (e *LostError) Unwrap() error {
+	return e.Err
+}
+
+// Config bounds the pool.
+type Config struct {
+	// Local is the IP number that connections are made from; the zero value leaves it open.
+	Local netip.Addr
+	// Idle is the number of idle connections kept for one peer.
+	Idle int
+	// IdleFor is how long an idle connection is kept.
+	IdleFor time.Duration
+}
+
+// Client calls peers. It is safe for concurrent use.
+type Client struct {
+	local netip.Addr
+	pool  *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
+	dials atomic.Int64
+}
+
+// New returns a client with an empty pool.
+func New(cfg Config) *Client {
+	opts := drpcpool.Options{Expiration: cfg.IdleFor, KeyCapacity: cfg.Idle}
+	return &Client{local: cfg.Local, pool: drpcpool.New[netip.AddrPort, *drpcconn.Conn](opts)}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	return c.pool.Close()
+}
+
+// Dials returns how many connections were made.
+func (c *Client) Dials() int64 {
+	return c.dials.Load()
+}
+
+func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*drpcconn.Conn, error) {
+	if conn, ok := c.pool.Take(addr); ok {
+		return conn, nil
+	}
+	c.dials.Add(1)
+	d := net.Dialer{Timeout: dialTimeout}
+	if c.local.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.local, 0))
+	}
+	raw, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, &DialError{Addr: addr, Err: err}
+	}
+	return drpcconn.New(raw), nil
+}
+
+// with runs one call on a connection of its own and keeps the connection only
+// when the call ended well.
+func with[T any](ctx context.Context, c *Client, addr netip.AddrPort, call func(sycapb.DRPCPeerClient) (T, error)) (T, error) {
+	var zero T
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return zero, err
+	}
+	out, err := call(sycapb.NewDRPCPeerClient(conn))
+	if err != nil {
+		_ = conn.Close()
+		return zero, &LostError{Addr: addr, Err: err}
+	}
+	c.pool.Put(addr, conn)
+	return out, nil
+}
+
+// Forward sends one attempt to the daemon beside a backend server.
+func (c *Client) Forward(ctx context.Context, addr netip.AddrPort, call *sycapb.Call) (*sycapb.Reply, error) {
+	return with(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.Reply, error) {
+		return p.Forward(ctx, call)
+	})
+}
+
+// HomeTicket opens a ticket at the daemon that will be its home.
+func (c *Client) HomeTicket(ctx context.Context, addr netip.AddrPort, req *sycapb.TicketRequest) (*sycapb.TicketReply, error) {
+	return with(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.TicketReply, error) {
+		return p.HomeTicket(ctx, req)
+	})
+}
+
+// Sync exchanges membership entries.
+func (c *Client) Sync(ctx context.Context, addr netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
+	return with(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.SyncReply, error) {
+		return p.Sync(ctx, req)
+	})
+}
+
+// Pull fetches the policy in force at a peer.
+func (c *Client) Pull(ctx context.Context, addr netip.AddrPort, req *sycapb.PullRequest) (*sycapb.PullReply, error) {
+	return with(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.PullReply, error) {
+		return p.Pull(ctx, req)
+	})
+}
+
+// LocalBurn fetches the burn counts of a peer.
+func (c *Client) LocalBurn(ctx context.Context, addr netip.AddrPort, req *sycapb.BurnRequest) (*sycapb.BurnReply, error) {
+	return with(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.BurnReply, error) {
+		return p.LocalBurn(ctx, req)
+	})
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,343 @@
+// Package route chooses the backend server for an attempt.
+//
+// A Table holds the candidates of every service that this daemon calls, with
+// what their replies told: load, admission levels, failures. Pick takes the
+// less loaded of two random candidates, prefers the daemon's own availability
+// zone until that one is clearly busier, and leaves out every candidate whose
+// level would shed the call. Levels that are not heard again decay within a
+// second, so that shedding does not outlast its cause.
+//
+//	try, err := table.Pick(route.Request{Service: "plots", Method: "get", Key: key})
+//	if err != nil {
+//		// *NoServerError or *ShedError: nothing was sent
+//	}
+//	reply := send(try.Target)
+//	try.Done(route.Report{Load: reply.Load, Level: level})
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"sycamorespread.dev/action"
+)
+
+const (
+	// levelHold is how long a level stands unchanged after it was heard.
+	levelHold = 200 * time.Millisecond
+	// levelFade is the time over which a level then opens.
+	levelFade = 800 * time.Millisecond
+	// loadKeep is how long a reported load is used.
+	loadKeep = time.Second
+	// spillGap is how much busier the own zone may be before calls leave it, in shares of a server.
+	spillGap = 0.3
+	// avoidFirst and avoidMost bound the time for which an unreachable candidate is left out.
+	avoidFirst = 250 * time.Millisecond
+	avoidMost  = 2 * time.Second
+	// zoneSubset is the largest number of candidates used in one zone.
+	zoneSubset = 16
+	// retryAfter is the pause that a shed caller is advised.
+	retryAfter = 200 * time.Millisecond
+)
+
+// Target is a backend server that may take a call, by its daemon.
+type Target struct {
+	ID          string
+	Incarnation uint64
+	Addr        netip.AddrPort
+	Service     string
+	Zone        string
+	// Slots is the number of calls that the backend server runs at once.
+	Slots int
+}
+
+// Request describes the call to route.
+type Request struct {
+	Service, Method string
+	Key             action.Key
+	// Avoid lists the IDs of targets that were tried already.
+	Avoid []string
+	// Sticky, when not zero, selects one target by hash for all daemons.
+	Sticky uint64
+	// IgnoreLevel sends the call even when every level sheds it.
+	IgnoreLevel bool
+}
+
+// NoServerError reports that no backend server of a service is known and up.
+type NoServerError struct {
+	Service string
+}
+
+func (e *NoServerError) Error() string {
+	return fmt.Sprintf("no backend server of service %q is up", e.Service)
+}
+
+// ShedError reports that every candidate would shed the call.
+type ShedError struct {
+	Service    string
+	RetryAfter time.Duration
+}
+
+func (e *ShedError) Error() string {
+	return fmt.Sprintf("service %q has no capacity for this class; retry after %s", e.Service, e.RetryAfter)
+}
+
+type note struct {
+	level action.Level
+	at    time.Time
+}
+
+type state struct {
+	target   Target
+	inflight int
+	load     float64
+	loadAt   time.Time
+	levels   map[string]note
+	avoid    time.Time
+	failures int
+}
+
+// Table holds the candidates of all services. It is safe for concurrent use.
+type Table struct {
+	// Self is the ID of this daemon's instance.
+	Self string
+	// Zone is the availability zone of this daemon.
+	Zone string
+
+	mu       sync.Mutex
+	now      func() time.Time
+	byID     map[string]*state
+	services map[string][]*state
+}
+
+// New returns an empty table for the daemon self in zone.
+func New(self, zone string, now func() time.Time) *Table {
+	return &Table{Self: self, Zone: zone, now: now, byID: map[string]*state{}, services: map[string][]*state{}}
+}
+
+// Update replaces the candidates. What is known of those that stay is kept,
+// unless they restarted.
+func (t *Table) Update(targets []Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byID := make(map[string]*state, len(targets))
+	services := make(map[string][]*state)
+	for _, target := range targets {
+		s, ok := t.byID[target.ID]
+		if !ok || s.target.Incarnation != target.Incarnation {
+			s = &state{levels: map[string]note{}}
+		}
+		s.target = target
+		byID[target.ID] = s
+		services[target.Service] = append(services[target.Service], s)
+	}
+	for name, list := range services {
+		services[name] = t.subset(list)
+	}
+	t.byID = byID
+	t.services = services
+}
+
+// subset keeps at most zoneSubset candidates of each zone, chosen by hash so
+// that each daemon has its own and keeps it.
+func (t *Table) subset(list []*state) []*state {
+	weight := func(s *state) uint64 { return xxhash.Sum64String(t.Self + "/" + s.target.ID) }
+	slices.SortFunc(list, func(a, b *state) int {
+		if weight(a) < weight(b) {
+			return -1
+		}
+		return 1
+	})
+	kept := make([]*state, 0, len(list))
+	perZone := map[string]int{}
+	for _, s := range list {
+		if perZone[s.target.Zone] >= zoneSubset {
+			continue
+		}
+		perZone[s.target.Zone]++
+		kept = append(kept, s)
+	}
+	return kept
+}
+
+// Find returns the target with the given ID.
+func (t *Table) Find(id string) (Target, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.byID[id]
+	if !ok {
+		return Target{}, false
+	}
+	return s.target, true
+}
+
+// Services returns the number of known services.
+func (t *Table) Services() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.services)
+}
+
+// Pick chooses a target. It returns a *NoServerError or a *ShedError when
+// there is none.
+func (t *Table) Pick(req Request) (*Try, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	up := t.reachable(req, now)
+	if len(up) == 0 {
+		return nil, &NoServerError{Service: req.Service}
+	}
+	if req.Sticky != 0 {
+		return t.try(sticky(up, req.Sticky), req.Method), nil
+	}
+	open := up
+	if !req.IgnoreLevel {
+		open = admitting(up, req, now)
+	}
+	if len(open) == 0 {
+		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter}
+	}
+	return t.try(t.choose(open, now), req.Method), nil
+}
+
+// Direct returns a try at the target with the given ID.
+func (t *Table) Direct(id, method string) (*Try, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.byID[id]
+	if !ok {
+		return nil, &NoServerError{Service: id}
+	}
+	return t.try(s, method), nil
+}
+
+// reachable returns the candidates that are not avoided; when all are, those
+// not tried yet.
+func (t *Table) reachable(req Request, now time.Time) []*state {
+	var up, rest []*state
+	for _, s := range t.services[req.Service] {
+		if slices.Contains(req.Avoid, s.target.ID) {
+			continue
+		}
+		if now.Before(s.avoid) {
+			rest = append(rest, s)
+			continue
+		}
+		up = append(up, s)
+	}
+	if len(up) == 0 {
+		return rest
+	}
+	return up
+}
+
+func admitting(list []*state, req Request, now time.Time) []*state {
+	open := make([]*state, 0, len(list))
+	for _, s := range list {
+		if s.level(req.Method, now).Admits(req.Key) {
+			open = append(open, s)
+		}
+	}
+	return open
+}
+
+// sticky selects the candidate with the highest hash of fp and its ID.
+func sticky(list []*state, fp uint64) *state {
+	var best *state
+	var most uint64
+	for _, s := range list {
+		h := xxhash.Sum64String(fmt.Sprintf("%x/%s", fp, s.target.ID))
+		if best == nil || h > most {
+			best, most = s, h
+		}
+	}
+	return best
+}
+
+// choose takes the better of two random candidates of the own zone, and a
+// better one of the other zones when the own zone is busier by spillGap.
+func (t *Table) choose(list []*state, now time.Time) *state {
+	var own, other []*state
+	for _, s := range list {
+		if s.target.Zone == t.Zone {
+			own = append(own, s)
+		} else {
+			other = append(other, s)
+		}
+	}
+	near := better(own, now)
+	far := better(other, now)
+	if near == nil {
+		return far
+	}
+	if far != nil && far.score(now)+spillGap < near.score(now) {
+		return far
+	}
+	return near
+}
+
+func better(list []*state, now time.Time) *state {
+	if len(list) == 0 {
+		return nil
+	}
+	a := list[rand.IntN(len(list))]
+	b := list[rand.IntN(len(list))]
+	if b.score(now) < a.score(now) {
+		return b
+	}
+	return a
+}
+
+// score estimates the share of the server that is in use.
+func (s *state) score(now time.Time) float64 {
+	own := float64(s.inflight+1) / float64(max(1, s.target.Slots))
+	if now.Sub(s.loadAt) > loadKeep {
+		return own
+	}
+	return max(own, s.load) + own/2
+}
+
+// level returns the level last heard for a method, opened by its age.
+func (s *state) level(method string, now time.Time) action.Level {
+	n, ok := s.levels[method]
+	if !ok {
+		return action.Open
+	}
+	age := now.Sub(n.at) - levelHold
+	if age <= 0 {
+		return n.level
+	}
+	if age >= levelFade {
+		return action.Open
+	}
+	gap := float64(action.Open - n.level)
+	return n.level + action.Level(gap*float64(age)/float64(levelFade))
+}
+
+// Level returns the level of a whole service for a method: the highest among
+// the candidates heard of lately.
+func (t *Table) Level(service, method string) action.Level {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var best action.Level
+	heard := false
+	for _, s := range t.services[service] {
+		n, ok := s.levels[method]
+		if !ok || now.Sub(n.at) > levelHold+levelFade {
+			continue
+		}
+		heard = true
+		best = max(best, s.level(method, now))
+	}
+	if !heard {
+		return action.Open
+	}
+	return best
+}
--- /dev/null
+++ b/route/try.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"time"
+
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/sycapb"
+)
+
+// Try is one attempt at a target. Done or Fail must be called once.
+type Try struct {
+	// Target is where the attempt goes.
+	Target Target
+
+	t      *Table
+	s      *state
+	method string
+}
+
+// try counts an attempt at s; t.mu is held.
+func (t *Table) try(s *state, method string) *Try {
+	s.inflight++
+	return &Try{Target: s.target, t: t, s: s, method: method}
+}
+
+// Report is what a reply tells of its server.
+type Report struct {
+	Load    *sycapb.Load
+	Level   action.Level
+	Leaving bool
+}
+
+// Done ends the attempt with a reply.
+func (y *Try) Done(r Report) {
+	y.t.mu.Lock()
+	defer y.t.mu.Unlock()
+	now := y.t.now()
+	s := y.s
+	s.inflight--
+	s.failures = 0
+	s.avoid = time.Time{}
+	if r.Leaving {
+		s.avoid = now.Add(avoidMost)
+	}
+	if r.Load != nil && r.Load.Limit > 0 {
+		s.load = float64(r.Load.Inflight+r.Load.Queued) / float64(r.Load.Limit)
+		s.loadAt = now
+	}
+	s.levels[y.method] = note{level: r.Level, at: now}
+}
+
+// Fail ends the attempt without a reply. Unreachable tells that the server
+// could not be reached or died, so that it is left out for a while.
+func (y *Try) Fail(unreachable bool) {
+	y.t.mu.Lock()
+	defer y.t.mu.Unlock()
+	s := y.s
+	s.inflight--
+	if !unreachable {
+		return
+	}
+	wait := min(avoidFirst<<min(s.failures, 8), avoidMost)
+	s.failures++
+	s.avoid = y.t.now().Add(wait)
+}
--- /dev/null
+++ b/stand/relay.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+	"gopkg.in/ini.v1"
+	"sycamorespread.dev/sycapb"
+)
+
+// bufferSize is the size of a copy buffer, in bytes.
+const bufferSize = 64 << 10
+
+// relay passes TCP and UDP traffic on to daemons, unless a cut separates the
+// zones of the sender and the receiver. A sender is known by its IP number.
+type relay struct {
+	zones map[netip.Addr]string
+
+	mu    sync.Mutex
+	cuts  map[[2]string]bool
+	delay time.Duration
+	conns map[*link]bool
+	group errgroup.Group
+}
+
+// link is one relayed TCP connection.
+type link struct {
+	from, to  string
+	near, far net.Conn
+}
+
+// door is one daemon behind the relay.
+type door struct {
+	listen, target netip.AddrPort
+}
+
+func relayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "relay FILE", Short: "Relay that delays and cuts traffic between zones", Args: cobra.ExactArgs(1)}
+	c.RunE = func(c *cobra.Command, args []string) error {
+		r, doors, control, err := loadRelay(args[0])
+		if err != nil {
+			return err
+		}
+		return r.serve(c.Context(), doors, control)
+	}
+	return c
+}
+
+// loadRelay reads "[doors] LISTEN = TARGET ZONE" lines and "[relay] control".
+func loadRelay(file string) (*relay, []door, string, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, file)
+	if err != nil {
+		return nil, nil, "", errors.Wrapf(err, "settings %s", file)
+	}
+	r := &relay{zones: map[netip.Addr]string{}, cuts: map[[2]string]bool{}, conns: map[*link]bool{}}
+	var doors []door
+	for _, k := range f.Section("doors").Keys() {
+		target, zone, _ := strings.Cut(k.Value(), " ")
+		listen, err1 := netip.ParseAddrPort(k.Name())
+		to, err2 := netip.ParseAddrPort(target)
+		if err1 != nil || err2 != nil || zone == "" {
+			return nil, nil, "", errors.Errorf("settings %s: %q is not LISTEN = TARGET ZONE", file, k.Name()+" = "+k.Value())
+		}
+		r.zones[to.Addr()] = zone
+		doors = append(doors, door{listen: listen, target: to})
+	}
+	return r, doors, f.Section("relay").Key("control").String(), nil
+}
+
+func (r *relay) serve(ctx context.Context, doors []door, control string) error {
+	g, ctx := errgroup.WithContext(ctx)
+	mux := http.NewServeMux()
+	mux.Handle(sycapb.NewRelayControlHandler(r))
+	g.Go(func() error { return serveHTTP(ctx, control, mux) })
+	for _, d := range doors {
+		g.Go(func() error { return r.serveTCP(ctx, d) })
+		g.Go(func() error { return r.serveUDP(ctx, d) })
+	}
+	err := g.Wait()
+	_ = r.group.Wait()
+	return err
+}
+
+// SetCuts implements the schema's RelayControl service.
+func (r *relay) SetCuts(_ context.Context, req *connect.Request[sycapb.RelayCuts]) (*connect.Response[sycapb.RelayCuts], error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts = map[[2]string]bool{}
+	for _, c := range req.Msg.Cuts {
+		r.cuts[[2]string{c.A, c.B}] = true
+		r.cuts[[2]string{c.B, c.A}] = true
+	}
+	r.delay = time.Duration(req.Msg.DelayMs) * time.Millisecond
+	for l := range r.conns {
+		if r.cuts[[2]string{l.from, l.to}] {
+			_ = l.near.Close()
+			_ = l.far.Close()
+		}
+	}
+	return connect.NewResponse(req.Msg), nil
+}
+
+// blocked reports whether traffic between two zones is cut, and its delay.
+func (r *relay) blocked(from, to string) (bool, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cuts[[2]string{from, to}], r.delay
+}
+
+func (r *relay) serveTCP(ctx context.Context, d door) error {
+	l, err := net.Listen("tcp", d.listen.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", d.listen)
+	}
+	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+	for {
+		near, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrapf(err, "accept on %s", d.listen)
+		}
+		r.group.Go(func() error { return r.pass(ctx, near, d) })
+	}
+}
+
+// pass relays one connection until either side closes or a cut comes.
+func (r *relay) pass(ctx context.Context, near net.Conn, d door) error {
+	defer func() { _ = near.Close() }()
+	from := r.zones[near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()]
+	to := r.zones[d.target.Addr()]
+	if cut, _ := r.blocked(from, to); cut {
+		return nil
+	}
+	far, err := net.DialTimeout("tcp", d.target.String(), time.Second)
+	if err != nil {
+		return nil
+	}
+	k := &link{from: from, to: to, near: near, far: far}
+	r.track(k, true)
+	defer r.track(k, false)
+	defer context.AfterFunc(ctx, func() { _ = near.Close(); _ = far.Close() })()
+	var g errgroup.Group
+	g.Go(func() error { return r.copy(far, near, k) })
+	g.Go(func() error { return r.copy(near, far, k) })
+	_ = g.Wait()
+	return nil
+}
+
+func (r *relay) track(k *link, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if on {
+		r.conns[k] = true
+		return
+	}
+	delete(r.conns, k)
+}
+
+func (r *relay) copy(dst, src net.Conn, k *link) error {
+	defer func() { _ = dst.Close(); _ = src.Close() }()
+	b := make([]byte, bufferSize)
+	for {
+		n, err := src.Read(b)
+		if n > 0 {
+			if _, delay := r.blocked(k.from, k.to); delay > 0 {
+				time.Sleep(delay)
+			}
+			if _, werr := dst.Write(b[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (r *relay) serveUDP(ctx context.Context, d door) error {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.listen))
+	if err != nil {
+		return errors.Wrapf(err, "listen on udp %s", d.listen)
+	}
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	to := r.zones[d.target.Addr()]
+	b := make([]byte, bufferSize)
+	for {
+		n, from, err := c.ReadFromUDPAddrPort(b)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		if cut, _ := r.blocked(r.zones[from.Addr().Unmap()], to); !cut {
+			_, _ = c.WriteToUDPAddrPort(b[:n], d.target)
+		}
+	}
+}
--- /dev/null
+++ b/stand/server.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+	"gopkg.in/ini.v1"
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// poisonMark in a body makes the backend server crash.
+	poisonMark = "POISON"
+	// crashExit is its exit code then.
+	crashExit = 3
+	// idleConns is the number of idle connections kept to the daemon.
+	idleConns = 1024
+	// loadLag is how old the load is that the backend server reports.
+	loadLag = time.Second
+)
+
+// method is what the backend server does for one method.
+type method struct {
+	run   time.Duration
+	calls []string
+}
+
+// backend is the stand-in of a backend server: each run holds a slot for its
+// run time and for its deeper calls, one after another.
+type backend struct {
+	service string
+	slots   chan struct{}
+	methods map[string]method
+	egress  sycapb.EgressClient
+	slow    atomic.Pointer[float64]
+	running atomic.Int64
+	stale   atomic.Int64
+	drained atomic.Bool
+
+	mu   sync.Mutex
+	runs map[string]*sycapb.RunCount
+}
+
+func serverCommand() *cobra.Command {
+	c := &cobra.Command{Use: "server FILE", Short: "Stand-in of a backend server", Args: cobra.ExactArgs(1)}
+	c.RunE = func(c *cobra.Command, args []string) error {
+		b, addr, err := loadBackend(args[0])
+		if err != nil {
+			return err
+		}
+		mux := http.NewServeMux()
+		mux.Handle(sycapb.NewBackendHandler(b))
+		mux.Handle(sycapb.NewServerControlHandler(b))
+		g, ctx := errgroup.WithContext(c.Context())
+		g.Go(func() error { return serveHTTP(ctx, addr, mux) })
+		g.Go(func() error { return b.lagLoop(ctx) })
+		return g.Wait()
+	}
+	return c
+}
+
+// loadBackend reads the settings of a backend server.
+func loadBackend(file string) (*backend, string, error) {
+	f, err := ini.Load(file)
+	if err != nil {
+		return nil, "", errors.Wrapf(err, "settings %s", file)
+	}
+	s := f.Section("server")
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		DisableCompression:  true,
+	}
+	b := &backend{
+		service: s.Key("service").String(),
+		slots:   make(chan struct{}, s.Key("slots").MustInt(1)),
+		methods: map[string]method{},
+		egress:  sycapb.NewEgressClient(&http.Client{Transport: tr}, "http://"+s.Key("daemon").String()),
+		runs:    map[string]*sycapb.RunCount{},
+	}
+	one := 1.0
+	b.slow.Store(&one)
+	for _, m := range f.Section("methods").Keys() {
+		b.methods[m.Name()], err = parseMethod(m.Strings(" "))
+		if err != nil {
+			return nil, "", errors.Wrapf(err, "settings %s method %s", file, m.Name())
+		}
+	}
+	return b, s.Key("addr").String(), nil
+}
+
+// parseMethod reads "10ms plots.get waitlists.count".
+func parseMethod(words []string) (method, error) {
+	if len(words) == 0 {
+		return method{}, errors.New("want a run time and the deeper methods")
+	}
+	d, err := time.ParseDuration(words[0])
+	return method{run: d, calls: words[1:]}, err
+}
+
+// Run implements the schema's Backend service.
+func (b *backend) Run(ctx context.Context, req *connect.Request[sycapb.RunRequest]) (*connect.Response[sycapb.RunReply], error) {
+	m := req.Msg
+	if b.drained.Load() {
+		return connect.NewResponse(&sycapb.RunReply{RunId: m.RunId, Refused: true}), nil
+	}
+	def, ok := b.methods[m.Method]
+	if !ok {
+		return connect.NewResponse(b.fail(m, false, "unknown method "+m.Method)), nil
+	}
+	select {
+	case b.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+	b.running.Add(1)
+	defer func() {
+		b.running.Add(-1)
+		<-b.slots
+	}()
+	b.count(m)
+	if bytes.Contains(m.Body, []byte(poisonMark)) {
+		os.Exit(crashExit)
+	}
+	return b.work(ctx, m, def)
+}
+
+// work spends the run time, makes the deeper calls and answers.
+func (b *backend) work(ctx context.Context, m *sycapb.RunRequest, def method) (*connect.Response[sycapb.RunReply], error) {
+	t := time.NewTimer(time.Duration(float64(def.run) * *b.slow.Load()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+	var answer bytes.Buffer
+	fmt.Fprintf(&answer, "%s.%s|%x|%x", b.service, m.Method, m.ActionId, action.Digest(m.Body))
+	for _, to := range def.calls {
+		part, problem := b.call(ctx, m, to)
+		if problem != "" {
+			return connect.NewResponse(b.fail(m, true, problem)), nil
+		}
+		fmt.Fprintf(&answer, "[%s]", part)
+	}
+	answer.WriteString("|end")
+	body := answer.Bytes()
+	return connect.NewResponse(&sycapb.RunReply{RunId: m.RunId, Body: body, Digest: action.Digest(body)}), nil
+}
+
+// call makes one deeper call; a problem tells why it is not whole.
+func (b *backend) call(ctx context.Context, m *sycapb.RunRequest, to string) (part []byte, problem string) {
+	service, name, _ := bytes.Cut([]byte(to), []byte("."))
+	r, err := b.egress.Deeper(ctx, connect.NewRequest(&sycapb.DeeperCall{
+		RunId:   m.RunId,
+		Service: string(service),
+		Method:  string(name),
+		Body:    m.Body,
+	}))
+	if err != nil {
+		return nil, err.Error()
+	}
+	if r.Msg.Outcome != sycapb.Outcome_OUTCOME_DONE {
+		return nil, fmt.Sprintf("%s: %s %s %s", to, r.Msg.Outcome, r.Msg.Reason, r.Msg.Detail)
+	}
+	return r.Msg.Body, ""
+}
+
+func (b *backend) fail(m *sycapb.RunRequest, deeper bool, problem string) *sycapb.RunReply {
+	return &sycapb.RunReply{RunId: m.RunId, DeeperFailed: deeper, Error: problem, Digest: action.Digest(nil)}
+}
+
+// count notes a run of an action.
+func (b *backend) count(m *sycapb.RunRequest) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := string(m.ActionId) + m.Method
+	c, ok := b.runs[key]
+	if !ok {
+		c = &sycapb.RunCount{ActionId: m.ActionId, Method: b.service + "." + m.Method}
+		b.runs[key] = c
+	}
+	c.Runs++
+}
+
+// lagLoop refreshes the reported load, late.
+func (b *backend) lagLoop(ctx context.Context) error {
+	t := time.NewTicker(loadLag)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			b.stale.Store(b.running.Load())
+		}
+	}
+}
+
+// Health implements the schema's Backend service.
+func (b *backend) Health(context.Context, *connect.Request[sycapb.HealthRequest]) (*connect.Response[sycapb.HealthReply], error) {
+	return connect.NewResponse(&sycapb.HealthReply{Ok: true}), nil
+}
+
+// Load implements the schema's Backend service.
+func (b *backend) Load(context.Context, *connect.Request[sycapb.LoadRequest]) (*connect.Response[sycapb.LoadReply], error) {
+	return connect.NewResponse(&sycapb.LoadReply{Running: uint32(b.stale.Load()), Slots: uint32(cap(b.slots))}), nil
+}
+
+// Drain implements the schema's Backend service.
+func (b *backend) Drain(context.Context, *connect.Request[sycapb.DrainRequest]) (*connect.Response[sycapb.DrainReply], error) {
+	b.drained.Store(true)
+	return connect.NewResponse(&sycapb.DrainReply{}), nil
+}
+
+// SetFaults implements the schema's ServerControl service.
+func (b *backend) SetFaults(_ context.Context, req *connect.Request[sycapb.ServerFaults]) (*connect.Response[sycapb.ServerFaults], error) {
+	if f := req.Msg.Slow; f > 0 {
+		b.slow.Store(&f)
+	}
+	return connect.NewResponse(req.Msg), nil
+}
+
+// Runs implements the schema's ServerControl service.
+func (b *backend) Runs(_ context.Context, req *connect.Request[sycapb.RunsRequest]) (*connect.Response[sycapb.RunsReply], error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reply := &sycapb.RunsReply{}
+	for _, c := range b.runs {
+		reply.Counts = append(reply.Counts, c)
+		reply.Total += uint64(c.Runs)
+	}
+	if req.Msg.Clear {
+		b.runs = map[string]*sycapb.RunCount{}
+	}
+	return connect.NewResponse(reply), nil
+}
--- /dev/null
+++ b/sycd/main.go
@@ -0,0 +1,56 @@
+// Command sycd is the daemon beside a backend server.
+//
+//	sycd run FILE     runs until SIGTERM, then leaves gracefully
+//	sycd check FILE   checks the settings and exits
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"sycamorespread.dev/config"
+	"sycamorespread.dev/daemon"
+)
+
+func main() {
+	root := &cobra.Command{Use: "sycd", Short: "Overload control daemon beside a backend server", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(
+		&cobra.Command{Use: "run FILE", Short: "Run with the settings in FILE", Args: cobra.ExactArgs(1), RunE: runDaemon},
+		&cobra.Command{Use: "check FILE", Short: "Check the settings in FILE", Args: cobra.ExactArgs(1), RunE: checkSettings},
+	)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "sycd:", err)
+		os.Exit(1)
+	}
+}
+
+func checkSettings(_ *cobra.Command, args []string) error {
+	cfg, err := config.Load(args[0])
+	if err != nil {
+		return err
+	}
+	fmt.Printf("file=%s id=%s service=%s ok\n", args[0], cfg.ID, cfg.Service)
+	return nil
+}
+
+func runDaemon(_ *cobra.Command, args []string) error {
+	cfg, err := config.Load(args[0])
+	if err != nil {
+		return err
+	}
+	log := logrus.New()
+	log.SetLevel(cfg.LogLevel)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := daemon.New(cfg, log.WithFields(logrus.Fields{"id": cfg.ID, "zone": cfg.Zone}))
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
