admit: count only the more important backlog against a key

Cause: the level fell to the first bucket of rank 0 whenever the queue was far above its target, though the calls that waited were less important ones; dues were then refused at depth. Ruled out: deadlines and retry budgets (the reasons list shows only level refusals). An entry also kept the whole share that an embedded caller asked for, so resends ran out of allowance.

--- a/admit/control.go
+++ b/admit/control.go
@@ -64,12 +64,20 @@
 	}
 }
 
-// fit returns the level up to which the demand stays within rate.
-func (c *control) fit(rate float64) action.Level {
-	sum := 0.0
+// fit returns the level up to which the known demand, and the backlog that
+// waits at those keys, stay within the capacity. Less important calls that
+// wait do not count against more important ones.
+func (c *control) fit(capacity, target float64, q *queue) action.Level {
+	sum, backlog := 0.0, 0.0
+	next := 0
 	for i, d := range c.demand {
 		sum += d
-		if sum > rate {
+		for next < q.len() && bucketOf(q.items[next].key) <= i {
+			backlog++
+			next++
+		}
+		drain := max(0, backlog-target) / drainTime.Seconds()
+		if sum+drain > capacity {
 			return edge(max(0, i-1))
 		}
 	}
@@ -103,8 +111,7 @@
 	over := float64(g.queue.len()) - target
 	switch {
 	case over > 0 || c.evicted > 0:
-		want := capacity - max(0, over)/drainTime.Seconds()
-		c.level = min(c.level, c.fit(max(want, 0)))
+		c.level = min(c.level, c.fit(capacity, target, &g.queue))
 		g.flush()
 	case over < -target/2 && c.level < action.Open:
 		idle := float64(max(0, g.limit(now)-g.inflight)) / float64(g.limit(now))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -41,8 +41,10 @@
 		return refusal
 	}
 	r := d.dispatch(ctx, o, c)
-	left := o.acc.Left()
-	r.Unspent = left
+	r.Unspent = o.acc.Close()
+	if o.whole != nil {
+		o.whole.Return(o.given, r.Unspent)
+	}
 	// The caller's own mistakes and departure do not burn the objective.
 	if r.Reason != sycapb.Reason_REASON_INVALID && r.Reason != sycapb.Reason_REASON_CANCELLED {
 		m := burn.Method{Service: c.Service, Name: c.Method, Class: o.method.Class}
@@ -78,11 +80,18 @@
 	if c.TimeoutUs == 0 {
 		timeout = min(defaultTimeout, m.TimeoutMax)
 	}
-	acc := d.actions.Account(id, m.Allowance)
-	if c.Allowance > 0 {
-		acc = allow.NewAccount(id, acc.Take(c.Allowance))
+	if !d.full() {
+		return d.prepare(c, m, id, time.Now().Add(timeout), allow.NewAccount(id, baselineAllowance)), nil
+	}
+	whole := d.actions.Account(id, m.Allowance)
+	given := whole.Take(m.Allowance)
+	if c.Allowance > 0 && c.Allowance < given {
+		whole.Return(given-c.Allowance, given-c.Allowance)
+		given = c.Allowance
 	}
-	return d.prepare(c, m, id, time.Now().Add(timeout), acc), nil
+	o := d.prepare(c, m, id, time.Now().Add(timeout), allow.NewAccount(id, given))
+	o.whole, o.given = whole, given
+	return o, nil
 }
 
 // prepare returns the outbound form of a call with its class set.
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -21,6 +21,9 @@
 	maxAttempts = 4
 	// baselineAttempts is the number of attempts of the baselines without control.
 	baselineAttempts = 3
+	// baselineAllowance and baselineShare are too large to bound the baselines.
+	baselineAllowance = 1 << 20
+	baselineShare     = 1 << 10
 	// retryPause is the mean pause before a retry, doubled each time.
 	retryPause = 5 * time.Millisecond
 )
@@ -32,6 +35,9 @@
 	key      action.Key
 	deadline time.Time
 	acc      *allow.Account
+	// whole is the account of the action at this entry, and given what it gave to acc; nil for deeper calls.
+	whole *allow.Account
+	given uint32
 	// home is the only instance that may run the call, empty for any.
 	home string
 	// fresh tells that no earlier attempt used the ticket.
@@ -186,7 +192,7 @@
 // take removes the share of one attempt from the account.
 func (d *Daemon) take(o *outbound) uint32 {
 	if !d.full() {
-		return max(1, o.acc.Take(o.acc.Left()))
+		return o.acc.Take(baselineShare)
 	}
 	return o.acc.Take(d.shares.Share(o.call.Service+"."+o.call.Method, o.acc.Left()))
 }
--- a/load/record.go
+++ b/load/record.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +35,7 @@
 	kinds   []Kind
 	counts  []Counts
 	slices  [][]Counts
+	ended   [][]uint64
 	times   *hdrhistogram.Histogram
 	reasons map[string]uint64
 	wrong   []error
@@ -46,6 +49,7 @@
 		kinds:   kinds,
 		counts:  make([]Counts, len(kinds)),
 		slices:  make([][]Counts, len(kinds)),
+		ended:   make([][]uint64, len(kinds)),
 		times:   hdrhistogram.New(1, histMax, histDigits),
 		reasons: map[string]uint64{},
 		notRun:  map[action.ID]string{},
@@ -57,8 +61,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := int(at / Slice)
-	for len(r.slices[kind]) <= i {
-		r.slices[kind] = append(r.slices[kind], Counts{})
+	r.slices[kind] = grow(r.slices[kind], i+1)
+	if end := int((at + took) / Slice); wrong == nil && res.Outcome == sycapb.Outcome_OUTCOME_DONE {
+		r.ended[kind] = grow(r.ended[kind], end+1)
+		r.ended[kind][end]++
 	}
 	r.count(&r.counts[kind], res, wrong)
 	r.count(&r.slices[kind][i], res, wrong)
@@ -66,7 +72,7 @@
 	if res.Outcome == sycapb.Outcome_OUTCOME_DONE {
 		_ = r.times.RecordValue(min(took.Microseconds(), histMax))
 	} else {
-		r.reasons[res.Outcome.String()+"/"+res.Reason.String()]++
+		r.reasons[k.Name+": "+word(res.Outcome.String())+" "+word(res.Reason.String())+" "+digits.ReplaceAllString(res.Detail, "#")]++
 	}
 	if res.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
 		r.notRun[res.ID] = k.Service + "." + k.Method
@@ -79,6 +85,15 @@
 	}
 }
 
+// digits finds the numbers in a detail, which would make each one its own.
+var digits = regexp.MustCompile(`[0-9][0-9a-f.:µm]*`)
+
+// word shortens an enum name of the schema.
+func word(enum string) string {
+	_, name, _ := strings.Cut(enum, "_")
+	return strings.ToLower(name)
+}
+
 func (r *Recorder) count(c *Counts, res *caller.Result, wrong error) {
 	c.Offered++
 	c.Sends += uint64(res.Sends)
@@ -110,6 +125,32 @@
 	return sum
 }
 
+// grow returns s with at least n items.
+func grow[T any](s []T, n int) []T {
+	if len(s) < n {
+		s = append(s, make([]T, n-len(s))...)
+	}
+	return s
+}
+
+// Ended returns how many whole actions ended in a time span.
+func (r *Recorder) Ended(from, to time.Duration, names ...string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := uint64(0)
+	for i, k := range r.kinds {
+		if !named(k, names) {
+			continue
+		}
+		for s, n := range r.ended[i] {
+			if at := time.Duration(s) * Slice; at >= from && at < to {
+				sum += n
+			}
+		}
+	}
+	return sum
+}
+
 // Between returns the counts of the actions that started in a time span.
 func (r *Recorder) Between(from, to time.Duration, names ...string) Counts {
 	r.mu.Lock()
