route: a deeper call that levels would shed still tries the mildest server

Cause: an unrepeatable call that had run upstream failed when every level below refused it for a moment; its deeper call had no retry left.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -166,6 +166,7 @@
 		Key:         o.key,
 		Avoid:       avoid,
 		IgnoreLevel: !d.full(),
+		Invested:    o.call.Depth > 0,
 	}
 	print := poison.PrintOf(o.call.Service, o.call.Method, o.call.Digest)
 	if d.full() && d.book.State(print) == poison.Suspect {
--- a/route/route.go
+++ b/route/route.go
@@ -64,8 +64,12 @@
 	Avoid []string
 	// Sticky, when not zero, selects one target by hash for all daemons.
 	Sticky uint64
-	// IgnoreLevel sends the call even when every level sheds it.
+	// IgnoreLevel takes no notice of levels.
 	IgnoreLevel bool
+	// Invested tells that work was done for the call upstream. It goes to the
+	// least overloaded server when every level would shed it, since the queue
+	// there may still prefer it.
+	Invested bool
 }
 
 // NoServerError reports that no backend server of a service is known and up.
@@ -200,6 +204,9 @@
 	if !req.IgnoreLevel {
 		open = admitting(up, req, now)
 	}
+	if len(open) == 0 && req.Invested {
+		return t.try(mildest(up, req.Method, now), req.Method), nil
+	}
 	if len(open) == 0 {
 		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter}
 	}
@@ -247,6 +254,17 @@
 	return open
 }
 
+// mildest returns the candidate with the highest level.
+func mildest(list []*state, method string, now time.Time) *state {
+	best := list[0]
+	for _, s := range list[1:] {
+		if s.level(method, now) > best.level(method, now) {
+			best = s
+		}
+	}
+	return best
+}
+
 // sticky selects the candidate with the highest hash of fp and its ID.
 func sticky(list []*state, fp uint64) *state {
 	var best *state
