daemon: refusals stay true and a crash is known before the retry

Cause: the second attempt of a ticketed call was refused by the entry itself, for want of allowance, after the first answer was lost; the entry's own refusal was taken for the home's.

--- a/bench/added.go
+++ b/bench/added.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/caller"
 	"sycamorespread.dev/sycapb"
--- /dev/null
+++ b/bench/prove.go
@@ -0,0 +1,328 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/load"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// proveLoad is the demand, as a share of what the bottleneck can do.
+	proveLoad = 0.3
+	// proveSurge is the factor on the demand while the bottleneck is slow.
+	proveSurge = 3
+	// proveResends is how often callers send again.
+	proveResends = 4
+	// serverRestart is how soon a crashed backend server starts again.
+	serverRestart = time.Second
+	// crashesPerPoison is the number of backend servers that one poison request may bring down.
+	crashesPerPoison = 2
+	// endShare is the share of whole actions in the quiet end.
+	endShare = 0.95
+	// watchRevision is how often the revisions of the daemons are read.
+	watchRevision = 500 * time.Millisecond
+	// maxSchedule bounds the printed schedule.
+	crashCode = 3
+)
+
+// prover runs the randomised mix of faults and judges it.
+type prover struct {
+	c    *cluster
+	seed uint64
+	g    *errgroup.Group
+
+	cutting, storing, slowing, racing sync.Mutex
+
+	surge    atomic.Bool
+	poisons  atomic.Int64
+	crashes  atomic.Int64
+	stopping atomic.Bool
+	accepts  []accepted
+	highest  map[string]uint64
+	reverted []string
+}
+
+// brokenError names an invariant that did not hold.
+type brokenError struct {
+	invariant, detail string
+}
+
+func (e *brokenError) Error() string {
+	return e.invariant + ": " + e.detail
+}
+
+func proveCommand(bin, dir *string) *cobra.Command {
+	var seed uint64
+	var duration time.Duration
+	var name string
+	c := &cobra.Command{Use: "prove", Short: "Run a long randomised mix of all faults", Args: cobra.NoArgs}
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of faults and load")
+	c.Flags().DurationVar(&duration, "duration", time.Minute, "how long load is sent")
+	c.Flags().StringVar(&name, "deployment", "kolonihave", "kolonihave or ballonbuch")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		top, err := topologyOf(name)
+		if err != nil {
+			return err
+		}
+		opt := options{bin: *bin, dir: *dir, mode: "full", level: "info", leave: 3 * time.Second, relay: true}
+		rec, err := prove(c.Context(), top, opt, seed, duration)
+		var broken *brokenError
+		if errors.As(err, &broken) {
+			fmt.Println(broken)
+			fmt.Printf("prove: broken %s seed=%d\n", broken.invariant, seed)
+			return errors.Errorf("logs are in %s", *dir)
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Printf("prove: ok seed=%d actions=%d broken=0\n", seed, rec.Sum().Offered)
+		return nil
+	}
+	return c
+}
+
+func prove(ctx context.Context, top topology, opt options, seed uint64, duration time.Duration) (*load.Recorder, error) {
+	top.kinds = append(slices.Clone(top.kinds), top.extra...)
+	c, err := newCluster(top, opt)
+	if err != nil {
+		return nil, err
+	}
+	p := &prover{c: c, seed: seed, highest: map[string]uint64{}}
+	rec, err := p.run(ctx, duration)
+	p.stopping.Store(true)
+	if stopErr := c.stop(); err == nil && stopErr != nil {
+		err = &brokenError{invariant: "graceful", detail: stopErr.Error()}
+	}
+	if err != nil {
+		return rec, err
+	}
+	return rec, p.judgeLogs()
+}
+
+func (p *prover) run(ctx context.Context, duration time.Duration) (*load.Recorder, error) {
+	if err := p.c.start(ctx); err != nil {
+		return nil, err
+	}
+	if _, err := p.c.install(ctx, p.c.top.policy); err != nil {
+		return nil, err
+	}
+	faults := schedule(p.seed, duration, len(p.c.instances))
+	base := proveLoad * p.c.top.capacity() / p.c.top.deepShare()
+	gen := load.New(load.Config{
+		Client:   p.c.client(proveResends),
+		Kinds:    p.c.top.kinds,
+		Rate:     func(time.Duration) float64 { return base * p.factor() },
+		Duration: duration,
+		Seed:     p.seed,
+		BodySize: 256,
+	})
+	start := time.Now()
+	watch, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	background, inner := errgroup.WithContext(watch)
+	background.Go(func() error { return p.superviseLoop(inner) })
+	background.Go(func() error { return p.revisionLoop(inner) })
+	g, inner := errgroup.WithContext(ctx)
+	p.g = g
+	g.Go(func() error {
+		gen.Run(inner)
+		return nil
+	})
+	for _, f := range faults {
+		g.Go(func() error {
+			wait(inner, f.at-time.Since(start))
+			fmt.Printf("at=%s fault=%s target=%s length=%s\n", f.at.Round(time.Millisecond), f.kind, p.c.instances[f.target].id, f.length.Round(time.Millisecond))
+			return p.inject(inner, f)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return gen.Recorder(), err
+	}
+	err := p.judge(ctx, gen.Recorder(), duration)
+	stopWatch()
+	if waitErr := background.Wait(); err == nil {
+		err = waitErr
+	}
+	return gen.Recorder(), err
+}
+
+func (p *prover) factor() float64 {
+	if p.surge.Load() {
+		return proveSurge
+	}
+	return 1
+}
+
+// superviseLoop restarts backend servers that ended, as the platform would.
+func (p *prover) superviseLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait(ctx, pollEvery)
+		for _, i := range p.c.instances {
+			if err := p.revive(ctx, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *prover) revive(ctx context.Context, i *instance) error {
+	i.serverMu.Lock()
+	defer i.serverMu.Unlock()
+	select {
+	case <-i.server.done:
+	default:
+		return nil
+	}
+	if p.stopping.Load() || ctx.Err() != nil {
+		return nil
+	}
+	if i.diedAt.IsZero() {
+		i.diedAt = time.Now()
+		if i.server.cmd.ProcessState.ExitCode() == crashCode {
+			p.crashes.Add(1)
+		}
+	}
+	if time.Since(i.diedAt) < serverRestart {
+		return nil
+	}
+	i.diedAt = time.Time{}
+	return p.c.startServer(i)
+}
+
+// revisionLoop checks that no daemon's revision ever falls while it lives.
+func (p *prover) revisionLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait(ctx, watchRevision)
+		for _, i := range p.c.instances {
+			p.readRevision(ctx, i)
+		}
+	}
+	return nil
+}
+
+func (p *prover) readRevision(ctx context.Context, i *instance) {
+	ctx, cancel := context.WithTimeout(ctx, watchRevision)
+	defer cancel()
+	pid := i.daemon.cmd.Process.Pid
+	r, err := p.c.operator(i).Policy(ctx, connect.NewRequest(&sycapb.PolicyRequest{}))
+	if err != nil {
+		return
+	}
+	key := fmt.Sprintf("%s/%d", i.id, pid)
+	if r.Msg.Revision < p.highest[key] {
+		p.reverted = append(p.reverted, fmt.Sprintf("%s went from %d to %d", key, p.highest[key], r.Msg.Revision))
+	}
+	p.highest[key] = max(p.highest[key], r.Msg.Revision)
+}
+
+// judge checks every invariant after the load has ended.
+func (p *prover) judge(ctx context.Context, rec *load.Recorder, duration time.Duration) error {
+	runs, err := p.c.judgeRuns(rec)
+	if err != nil {
+		return err
+	}
+	sum := rec.Sum()
+	end := rec.Between(duration-quietEnd/3, duration)
+	fmt.Printf("offered=%d whole=%d notrun=%d failed=%d unknown=%d sends=%d runs_most=%d poisons=%d crashes=%d end=%d/%d\n",
+		sum.Offered, sum.Whole, sum.NotRun, sum.Failed, sum.Unknown, sum.Sends, runs.Most, p.poisons.Load(), p.crashes.Load(), end.Whole, end.Offered)
+	printReasons("prove", rec)
+	switch {
+	case sum.Wrong > 0:
+		return &brokenError{invariant: "answer", detail: fmt.Sprint(sum.Wrong, " ", rec.Wrong())}
+	case len(runs.Twice) > 0:
+		return &brokenError{invariant: "once", detail: strings.Join(runs.Twice, "; ")}
+	case len(runs.Liars) > 0:
+		return &brokenError{invariant: "notrun", detail: strings.Join(runs.Liars, "; ")}
+	case runs.Most > callerAllowance:
+		return &brokenError{invariant: "allowance", detail: fmt.Sprintf("%d runs of one action, %d allowed", runs.Most, callerAllowance)}
+	case p.crashes.Load() > crashesPerPoison*p.poisons.Load():
+		return &brokenError{invariant: "poison", detail: fmt.Sprintf("%d crashes by %d poison requests", p.crashes.Load(), p.poisons.Load())}
+	case len(p.reverted) > 0:
+		return &brokenError{invariant: "revision", detail: strings.Join(p.reverted, "; ")}
+	case float64(end.Whole) < endShare*float64(end.Offered):
+		return &brokenError{invariant: "recovery", detail: fmt.Sprintf("%d of %d actions whole at the end", end.Whole, end.Offered)}
+	}
+	if err := p.judgeViews(ctx); err != nil {
+		return err
+	}
+	return p.judgePolicy(ctx)
+}
+
+// judgeViews checks that every daemon knows every other again.
+func (p *prover) judgeViews(ctx context.Context) error {
+	for _, i := range p.c.instances {
+		if n := p.c.alive(ctx, i); n != len(p.c.instances) {
+			return &brokenError{invariant: "members", detail: fmt.Sprintf("%s knows %d of %d", i.id, n, len(p.c.instances))}
+		}
+	}
+	return nil
+}
+
+// judgePolicy checks what operators were told against the history, and that
+// the head is in force everywhere.
+func (p *prover) judgePolicy(ctx context.Context) error {
+	h, err := p.c.operator(p.c.instances[0]).History(ctx, connect.NewRequest(&sycapb.HistoryRequest{}))
+	if err != nil {
+		return errors.Wrap(err, "history")
+	}
+	in := map[string]bool{}
+	for _, c := range h.Msg.Changes {
+		in[c.Id] = true
+	}
+	for _, a := range p.accepts {
+		switch {
+		case a.result == sycapb.AcceptResult_ACCEPT_RESULT_ACCEPTED && !in[a.id]:
+			return &brokenError{invariant: "accept", detail: a.id + " was called accepted but is not in the history"}
+		case a.result == sycapb.AcceptResult_ACCEPT_RESULT_CONFLICT && (in[a.id] || !in[a.winner]):
+			return &brokenError{invariant: "accept", detail: a.id + " was called a conflict with " + a.winner}
+		}
+	}
+	for _, i := range p.c.instances {
+		r, err := p.c.operator(i).Policy(ctx, connect.NewRequest(&sycapb.PolicyRequest{}))
+		if err != nil {
+			return errors.Wrapf(err, "policy of %s", i.id)
+		}
+		if r.Msg.Revision != h.Msg.Head.Revision {
+			return &brokenError{invariant: "force", detail: fmt.Sprintf("%s has revision %d, the head is %d", i.id, r.Msg.Revision, h.Msg.Head.Revision)}
+		}
+	}
+	return nil
+}
+
+// judgeLogs looks for invariants that daemons reported broken, also those
+// that were killed since, and for panics.
+func (p *prover) judgeLogs() error {
+	files, err := filepath.Glob(filepath.Join(p.c.opt.dir, "*.log"))
+	if err != nil {
+		return errors.Wrap(err, "logs")
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		for _, mark := range []string{"invariant broken", "panic:"} {
+			if at := bytes.Index(b, []byte(mark)); at >= 0 {
+				line, _, _ := strings.Cut(string(b[at:]), "\n")
+				return &brokenError{invariant: "daemon", detail: filepath.Base(f) + ": " + line}
+			}
+		}
+	}
+	return nil
+}
--- a/bench/surge.go
+++ b/bench/surge.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
+
 	"sycamorespread.dev/load"
 )
 
@@ -157,7 +158,7 @@
 }
 
 func (c *cluster) surgeRow(ctx context.Context, rec *load.Recorder) (surgeRow, error) {
-	runs, err := c.judgeRuns(ctx, rec)
+	runs, err := c.judgeRuns(rec)
 	if err != nil {
 		return surgeRow{}, err
 	}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -24,6 +24,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/sycapb"
 )
@@ -59,6 +60,8 @@
 	Body            []byte
 	// Unrepeatable tells that the call must run at most once.
 	Unrepeatable bool
+	// Key, for an unrepeatable call, is an idempotency key to use in place of a ticket.
+	Key string
 	// Timeout bounds the action with all its resends.
 	Timeout time.Duration
 }
@@ -109,6 +112,8 @@
 	entry  int
 	left   uint32
 	ticket []byte
+	// ticketSent tells that the ticket was sent to an entry.
+	ticketSent bool
 	// ran tells that an earlier send may have run.
 	ran   bool
 	pause time.Duration
@@ -143,7 +148,7 @@
 	case sycapb.Outcome_OUTCOME_FAILED:
 		return s.req.Unrepeatable
 	case sycapb.Outcome_OUTCOME_UNKNOWN:
-		return s.req.Unrepeatable && len(s.ticket) == 0
+		return s.req.Unrepeatable && len(s.ticket) == 0 && s.req.Key == ""
 	}
 	return s.res.Reason == sycapb.Reason_REASON_INVALID || s.res.Reason == sycapb.Reason_REASON_QUARANTINED
 }
@@ -176,11 +181,12 @@
 
 // send makes one call to an entry and notes how it ended.
 func (c *Client) send(ctx context.Context, s *attemptState) {
-	if s.req.Unrepeatable && len(s.ticket) == 0 && !c.openTicket(ctx, s) {
+	if s.req.Unrepeatable && s.req.Key == "" && len(s.ticket) == 0 && !c.openTicket(ctx, s) {
 		return
 	}
 	call := c.call(ctx, s)
 	s.res.Sends++
+	s.ticketSent = len(s.ticket) > 0
 	reply, err := c.rpcs[s.entry].Submit(ctx, connect.NewRequest(call))
 	if err == nil {
 		err = action.Verify(call, reply.Msg)
@@ -211,6 +217,8 @@
 		TimeoutUs: timeout.Microseconds(),
 		Allowance: (s.left + 1) / 2,
 		Ticket:    s.ticket,
+		First:     len(s.ticket) > 0 && !s.ticketSent,
+		Key:       s.req.Key,
 	}
 }
 
@@ -239,8 +247,7 @@
 	s.pause = time.Duration(r.RetryAfterMs) * time.Millisecond
 	switch r.Outcome {
 	case sycapb.Outcome_OUTCOME_NOTRUN:
-		// The refused ticket is void, another may be opened.
-		s.ticket = nil
+		s.refused(r)
 		if r.Reason == sycapb.Reason_REASON_LEAVING {
 			s.entry = (s.entry + 1) % len(c.rpcs)
 		}
@@ -249,6 +256,21 @@
 	}
 }
 
+// refused drops the ticket when it cannot have run: its home voided it, or
+// this was the only time it was sent. An entry that refuses by itself knows
+// nothing of earlier sends.
+func (s *attemptState) refused(r *sycapb.Reply) {
+	if len(s.ticket) == 0 {
+		return
+	}
+	if r.Server != "" {
+		s.ran = false
+	}
+	if !s.ran {
+		s.ticket = nil
+	}
+}
+
 // openTicket opens a ticket at the entry and reports whether it got one.
 func (c *Client) openTicket(ctx context.Context, s *attemptState) bool {
 	req := &sycapb.TicketRequest{Service: s.req.Service, Method: s.req.Method}
@@ -267,5 +289,6 @@
 		return false
 	}
 	s.ticket = r.Msg.Ticket
+	s.ticketSent = false
 	return true
 }
--- a/config/config.go
+++ b/config/config.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 	"gopkg.in/ini.v1"
+
 	"sycamorespread.dev/admit"
 )
 
--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/sycapb"
 )
@@ -148,9 +148,3 @@
 		d.lease = claimLease{}
 	}
 }
-
-// crashes numbers the crashes of the backend server.
-type crashes struct {
-	n    atomic.Uint64
-	last atomic.Int64
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
+
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/burn"
@@ -87,7 +88,6 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	down        atomic.Bool
-	calls       sync.WaitGroup
 	inflight    atomic.Int64
 	routesStale chan struct{}
 	pulls       chan pull
--- a/daemon/egress.go
+++ b/daemon/egress.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"connectrpc.com/connect"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/sycapb"
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/burn"
@@ -156,6 +157,7 @@
 		return invalid(c, err)
 	}
 	o.home = home
+	o.fresh = c.First
 	return d.forward(ctx, o)
 }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/peer"
@@ -44,6 +45,15 @@
 	fresh bool
 }
 
+// result is how one attempt ended.
+type result struct {
+	reply *sycapb.Reply
+	// target is the instance that was tried, empty when nothing was sent.
+	target string
+	// answered tells that the reply came from the target itself.
+	answered bool
+}
+
 // forward sends a call until it is done, must not be repeated, or nothing is
 // left to try.
 func (d *Daemon) forward(ctx context.Context, o *outbound) *sycapb.Reply {
@@ -51,26 +61,40 @@
 	defer cancel()
 	budget := d.budgets.Of(o.call.Service)
 	var avoid []string
-	var r *sycapb.Reply
+	var res result
 	ran := false
 	for n := range d.attempts() {
-		if n > 0 && !d.mayRetry(ctx, o, r, budget, n) {
+		if n > 0 && !d.mayRetry(ctx, o, res, budget, n) {
 			break
 		}
-		var target string
-		r, target = d.attempt(ctx, o, avoid)
-		if r.Outcome == sycapb.Outcome_OUTCOME_DONE {
+		res = d.attempt(ctx, o, avoid)
+		if res.reply.Outcome == sycapb.Outcome_OUTCOME_DONE {
 			budget.Earn()
-			return r
+			return res.reply
+		}
+		if res.reply.Outcome != sycapb.Outcome_OUTCOME_NOTRUN {
+			ran = true
+			o.fresh = false
 		}
-		ran = ran || r.Outcome != sycapb.Outcome_OUTCOME_NOTRUN
-		if target != "" && o.home == "" {
-			avoid = append(avoid, target)
+		if res.target != "" && o.home == "" {
+			avoid = append(avoid, res.target)
 		}
 	}
-	// The home of a ticket knows of all attempts; any other server only of its own.
-	if ran && o.home == "" && r.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
+	return o.settle(res, ran)
+}
+
+// settle keeps a refusal of the last attempt from hiding that an earlier one
+// may have run. Only the home of a ticket knows of all attempts.
+func (o *outbound) settle(res result, ran bool) *sycapb.Reply {
+	r := res.reply
+	if r.Outcome != sycapb.Outcome_OUTCOME_NOTRUN || !ran {
+		return r
+	}
+	switch {
+	case o.home == "":
 		r.Outcome = sycapb.Outcome_OUTCOME_FAILED
+	case !res.answered:
+		r.Outcome = sycapb.Outcome_OUTCOME_UNKNOWN
 	}
 	return r
 }
@@ -83,8 +107,9 @@
 }
 
 // mayRetry decides on another attempt after the reply r, and pauses before it.
-func (d *Daemon) mayRetry(ctx context.Context, o *outbound, r *sycapb.Reply, budget *allow.Budget, n int) bool {
-	if ctx.Err() != nil || !repeatable(o, r) {
+func (d *Daemon) mayRetry(ctx context.Context, o *outbound, res result, budget *allow.Budget, n int) bool {
+	r := res.reply
+	if ctx.Err() != nil || !repeatable(o, res) {
 		return false
 	}
 	if !d.full() {
@@ -102,7 +127,8 @@
 }
 
 // repeatable reports whether another attempt is allowed and can help.
-func repeatable(o *outbound, r *sycapb.Reply) bool {
+func repeatable(o *outbound, res result) bool {
+	r := res.reply
 	switch r.Outcome {
 	case sycapb.Outcome_OUTCOME_NOTRUN:
 		if o.home != "" {
@@ -111,7 +137,7 @@
 		switch r.Reason {
 		case sycapb.Reason_REASON_SHED, sycapb.Reason_REASON_UNREACHABLE, sycapb.Reason_REASON_LEAVING,
 			sycapb.Reason_REASON_BACKEND, sycapb.Reason_REASON_ALLOWANCE:
-			return r.Server != ""
+			return res.target != ""
 		}
 		return false
 	case sycapb.Outcome_OUTCOME_FAILED:
@@ -124,36 +150,76 @@
 	return false
 }
 
-// attempt sends the call to one server. It returns the ID of the server that
-// was tried, empty when nothing was sent.
-func (d *Daemon) attempt(ctx context.Context, o *outbound, avoid []string) (*sycapb.Reply, string) {
+// attempt sends the call to one server.
+func (d *Daemon) attempt(ctx context.Context, o *outbound, avoid []string) result {
+	if d.quarantined(o) {
+		return result{reply: o.refuse(sycapb.Reason_REASON_QUARANTINED, "the request crashed backend servers and is quarantined")}
+	}
 	try, err := d.pick(o, avoid)
 	if err != nil {
-		return d.noTarget(o, err), ""
+		return result{reply: o.noTarget(err)}
 	}
 	share := d.take(o)
-	c := d.envelope(o, share)
 	if share == 0 {
 		try.Fail(false)
-		r := action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_ALLOWANCE, "no runs are left for the action")
+		r := o.refuse(sycapb.Reason_REASON_ALLOWANCE, "no runs are left for the action")
 		r.Starved = true
-		return r, ""
+		return result{reply: r}
 	}
 	d.stats.Attempt()
+	c := o.envelope(share)
 	r, err := d.send(ctx, try.Target, c)
 	if err == nil {
 		err = action.Verify(c, r)
 	}
 	if err != nil {
-		r = d.noReply(ctx, o, c, err)
+		r = o.noReply(ctx, c, err)
 		try.Fail(r.Reason != sycapb.Reason_REASON_CANCELLED)
 		o.acc.Return(share, r.Unspent)
-		return r, try.Target.ID
+		return result{reply: r, target: try.Target.ID}
 	}
+	d.noteCrash(o, r)
 	try.Done(route.Report{Load: r.Load, Level: action.LevelFrom(r.Level), Leaving: r.Leaving})
 	o.acc.Return(share, r.Unspent)
-	d.shares.Observe(o.call.Service+"."+o.call.Method, share, share-min(share, r.Unspent), r.Starved)
-	return r, try.Target.ID
+	d.shares.Observe(o.name(), share, share-min(share, r.Unspent), r.Starved)
+	return result{reply: r, target: try.Target.ID, answered: true}
+}
+
+// name returns the full name of the method.
+func (o *outbound) name() string {
+	return o.call.Service + "." + o.call.Method
+}
+
+// print returns the fingerprint of the request.
+func (o *outbound) print() poison.Print {
+	return poison.PrintOf(o.call.Service, o.call.Method, o.call.Digest)
+}
+
+// refuse returns a reply to a call of which this attempt was not sent.
+func (o *outbound) refuse(why sycapb.Reason, detail string) *sycapb.Reply {
+	return action.Refusal(o.envelope(0), o.unsent(), why, detail)
+}
+
+// unsent returns how an attempt that was not sent ends: with a ticket that
+// was used before, an earlier attempt may have run.
+func (o *outbound) unsent() sycapb.Outcome {
+	if o.home != "" && !o.fresh {
+		return sycapb.Outcome_OUTCOME_UNKNOWN
+	}
+	return sycapb.Outcome_OUTCOME_NOTRUN
+}
+
+func (d *Daemon) quarantined(o *outbound) bool {
+	return d.full() && d.book.State(o.print()) == poison.Quarantined
+}
+
+// noteCrash makes a request a suspect here before it is tried again, since the
+// news of the crash may come later than the retry.
+func (d *Daemon) noteCrash(o *outbound, r *sycapb.Reply) {
+	if r.Crash == "" || !d.full() {
+		return
+	}
+	d.book.Crashed(r.Crash, []poison.Request{{Service: o.call.Service, Method: o.call.Method, Print: o.print()}})
 }
 
 func (d *Daemon) pick(o *outbound, avoid []string) (*route.Try, error) {
@@ -168,26 +234,20 @@
 		IgnoreLevel: !d.full(),
 		Invested:    o.call.Depth > 0,
 	}
-	print := poison.PrintOf(o.call.Service, o.call.Method, o.call.Digest)
-	if d.full() && d.book.State(print) == poison.Suspect {
-		req.Sticky = uint64(print)
+	if d.full() && d.book.State(o.print()) == poison.Suspect {
+		req.Sticky = uint64(o.print())
 	}
 	return d.table.Pick(req)
 }
 
-func (d *Daemon) noTarget(o *outbound, err error) *sycapb.Reply {
-	c := d.envelope(o, 0)
+func (o *outbound) noTarget(err error) *sycapb.Reply {
 	var shed *route.ShedError
 	if errors.As(err, &shed) {
-		r := action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_SHED, err.Error())
+		r := o.refuse(sycapb.Reason_REASON_SHED, err.Error())
 		r.RetryAfterMs = uint32(shed.RetryAfter.Milliseconds())
 		return r
 	}
-	outcome := sycapb.Outcome_OUTCOME_NOTRUN
-	if o.home != "" && !o.fresh {
-		outcome = sycapb.Outcome_OUTCOME_UNKNOWN
-	}
-	return action.Refusal(c, outcome, sycapb.Reason_REASON_UNREACHABLE, err.Error())
+	return o.refuse(sycapb.Reason_REASON_UNREACHABLE, err.Error())
 }
 
 // take removes the share of one attempt from the account.
@@ -195,11 +255,11 @@
 	if !d.full() {
 		return o.acc.Take(baselineShare)
 	}
-	return o.acc.Take(d.shares.Share(o.call.Service+"."+o.call.Method, o.acc.Left()))
+	return o.acc.Take(d.shares.Share(o.name(), o.acc.Left()))
 }
 
 // envelope returns the call as one attempt with a share of the allowance.
-func (d *Daemon) envelope(o *outbound, share uint32) *sycapb.Call {
+func (o *outbound) envelope(share uint32) *sycapb.Call {
 	t := o.call
 	return &sycapb.Call{
 		ActionId:  t.ActionId,
@@ -225,16 +285,10 @@
 }
 
 // noReply says how an attempt without a valid reply ended.
-func (d *Daemon) noReply(ctx context.Context, o *outbound, c *sycapb.Call, err error) *sycapb.Reply {
+func (o *outbound) noReply(ctx context.Context, c *sycapb.Call, err error) *sycapb.Reply {
 	var dial *peer.DialError
 	if errors.As(err, &dial) {
-		outcome := sycapb.Outcome_OUTCOME_NOTRUN
-		if o.home != "" && !o.fresh {
-			outcome = sycapb.Outcome_OUTCOME_UNKNOWN
-		}
-		r := action.Refusal(c, outcome, sycapb.Reason_REASON_UNREACHABLE, err.Error())
-		r.Server = dial.Addr.String()
-		return r
+		return action.Refusal(c, o.unsent(), sycapb.Reason_REASON_UNREACHABLE, err.Error())
 	}
 	why := sycapb.Reason_REASON_LOST
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
@@ -217,11 +218,13 @@
 		Body:      a.call.Body,
 		TimeoutUs: time.Until(a.deadline).Microseconds(),
 	})
+	crash := ""
 	if err != nil && ctx.Err() == nil {
-		d.lost(run, err)
+		crash = d.lost(run, err)
 	}
 	d.runs.remove(run)
 	r, verdict := d.conclude(ctx, run, answer, err)
+	r.Crash = crash
 	r.Unspent = acc.Close()
 	r.Starved = run.starved.Load()
 	if r.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/member"
 	"sycamorespread.dev/route"
 	"sycamorespread.dev/server"
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
 	"sycamorespread.dev/burn"
 	"sycamorespread.dev/poison"
 	"sycamorespread.dev/policy"
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/sycapb"
 )
--- a/daemon/runs.go
+++ b/daemon/runs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/poison"
--- a/daemon/web.go
+++ b/daemon/web.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+
 	"sycamorespread.dev/peer"
 	"sycamorespread.dev/sycapb"
 )
--- a/invar/invar.go
+++ b/invar/invar.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"github.com/sirupsen/logrus"
+
 	"sycamorespread.dev/action"
 )
 
--- a/load/load.go
+++ b/load/load.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/caller"
 	"sycamorespread.dev/sycapb"
@@ -32,6 +33,8 @@
 	// Weight is the share of this kind among all, relative to the others.
 	Weight       float64
 	Unrepeatable bool
+	// Keyed uses an idempotency key in place of a ticket.
+	Keyed bool
 	// Timeout bounds each action.
 	Timeout time.Duration
 }
@@ -127,6 +130,10 @@
 	k := g.cfg.Kinds[kind]
 	body := bytes.Repeat([]byte{'x'}, max(0, g.cfg.BodySize-2*action.IDSize))
 	body = append([]byte(id.String()), body...)
+	key := ""
+	if k.Keyed {
+		key = id.String()
+	}
 	start := time.Now()
 	res := g.cfg.Client.Do(ctx, caller.Request{
 		ID:           id,
@@ -134,6 +141,7 @@
 		Method:       k.Method,
 		Body:         body,
 		Unrepeatable: k.Unrepeatable,
+		Key:          key,
 		Timeout:      k.Timeout,
 	})
 	g.rec.add(kind, at, time.Since(start), res, checkAnswer(k, id, body, res))
--- a/load/record.go
+++ b/load/record.go
@@ -1,12 +1,14 @@
 package load
 
 import (
+	"maps"
 	"regexp"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/caller"
 	"sycamorespread.dev/sycapb"
@@ -40,7 +42,6 @@
 	reasons map[string]uint64
 	wrong   []error
 	notRun  map[action.ID]string
-	once    map[action.ID]string
 }
 
 // NewRecorder returns an empty record of the kinds.
@@ -53,7 +54,6 @@
 		times:   hdrhistogram.New(1, histMax, histDigits),
 		reasons: map[string]uint64{},
 		notRun:  map[action.ID]string{},
-		once:    map[action.ID]string{},
 	}
 }
 
@@ -77,9 +77,6 @@
 	if res.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
 		r.notRun[res.ID] = k.Service + "." + k.Method
 	}
-	if k.Unrepeatable {
-		r.once[res.ID] = k.Service + "." + k.Method
-	}
 	if wrong != nil {
 		r.wrong = append(r.wrong, wrong)
 	}
@@ -216,11 +213,14 @@
 func (r *Recorder) Reasons() map[string]uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[string]uint64, len(r.reasons))
-	for k, v := range r.reasons {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(r.reasons)
+}
+
+// NotRun returns the actions that were called not run, with their methods.
+func (r *Recorder) NotRun() map[action.ID]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.notRun)
 }
 
 // Wrong returns the answers that were not whole or not the caller's own.
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/member/member.go
+++ b/member/member.go
@@ -25,6 +25,7 @@
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/member/merge.go
+++ b/member/merge.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/member/probe.go
+++ b/member/probe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -24,6 +24,7 @@
 
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -21,6 +21,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
 	"sycamorespread.dev/action"
 )
 
--- a/policy/registry.go
+++ b/policy/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/sycapb"
 )
--- a/route/route.go
+++ b/route/route.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"sycamorespread.dev/action"
 )
 
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/stand/relay.go
+++ b/stand/relay.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 	"gopkg.in/ini.v1"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/stand/server.go
+++ b/stand/server.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 	"gopkg.in/ini.v1"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/sycapb"
 )
@@ -48,9 +48,7 @@
 	running atomic.Int64
 	stale   atomic.Int64
 	drained atomic.Bool
-
-	mu   sync.Mutex
-	runs map[string]*sycapb.RunCount
+	ledger  *os.File
 }
 
 func serverCommand() *cobra.Command {
@@ -88,7 +86,10 @@
 		slots:   make(chan struct{}, s.Key("slots").MustInt(1)),
 		methods: map[string]method{},
 		egress:  sycapb.NewEgressClient(&http.Client{Transport: tr}, "http://"+s.Key("daemon").String()),
-		runs:    map[string]*sycapb.RunCount{},
+	}
+	b.ledger, err = os.OpenFile(s.Key("ledger").MustString(os.DevNull), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "ledger of runs")
 	}
 	one := 1.0
 	b.slow.Store(&one)
@@ -130,7 +131,9 @@
 		b.running.Add(-1)
 		<-b.slots
 	}()
-	b.count(m)
+	if err := b.count(m); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
 	if bytes.Contains(m.Body, []byte(poisonMark)) {
 		os.Exit(crashExit)
 	}
@@ -182,17 +185,10 @@
 	return &sycapb.RunReply{RunId: m.RunId, DeeperFailed: deeper, Error: problem, Digest: action.Digest(nil)}
 }
 
-// count notes a run of an action.
-func (b *backend) count(m *sycapb.RunRequest) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	key := string(m.ActionId) + m.Method
-	c, ok := b.runs[key]
-	if !ok {
-		c = &sycapb.RunCount{ActionId: m.ActionId, Method: b.service + "." + m.Method}
-		b.runs[key] = c
-	}
-	c.Runs++
+// count writes a run to the ledger, which outlives a crash.
+func (b *backend) count(m *sycapb.RunRequest) error {
+	_, err := fmt.Fprintf(b.ledger, "%x %s.%s\n", m.ActionId, b.service, m.Method)
+	return err
 }
 
 // lagLoop refreshes the reported load, late.
@@ -232,18 +228,3 @@
 	}
 	return connect.NewResponse(req.Msg), nil
 }
-
-// Runs implements the schema's ServerControl service.
-func (b *backend) Runs(_ context.Context, req *connect.Request[sycapb.RunsRequest]) (*connect.Response[sycapb.RunsReply], error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	reply := &sycapb.RunsReply{}
-	for _, c := range b.runs {
-		reply.Counts = append(reply.Counts, c)
-		reply.Total += uint64(c.Runs)
-	}
-	if req.Msg.Clear {
-		b.runs = map[string]*sycapb.RunCount{}
-	}
-	return connect.NewResponse(reply), nil
-}
--- a/stand/store.go
+++ b/stand/store.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
 	"sycamorespread.dev/invar"
 	"sycamorespread.dev/sycapb"
 )
--- a/store/store.go
+++ b/store/store.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/sycapb/stand.connect.go
+++ b/sycapb/stand.connect.go
@@ -40,8 +40,6 @@
 	StoreControlSetFaultsProcedure = "/syca.v1.StoreControl/SetFaults"
 	// ServerControlSetFaultsProcedure is the fully-qualified name of the ServerControl's SetFaults RPC.
 	ServerControlSetFaultsProcedure = "/syca.v1.ServerControl/SetFaults"
-	// ServerControlRunsProcedure is the fully-qualified name of the ServerControl's Runs RPC.
-	ServerControlRunsProcedure = "/syca.v1.ServerControl/Runs"
 	// RelayControlSetCutsProcedure is the fully-qualified name of the RelayControl's SetCuts RPC.
 	RelayControlSetCutsProcedure = "/syca.v1.RelayControl/SetCuts"
 )
@@ -119,7 +117,6 @@
 // ServerControlClient is a client for the syca.v1.ServerControl service.
 type ServerControlClient interface {
 	SetFaults(context.Context, *connect.Request[ServerFaults]) (*connect.Response[ServerFaults], error)
-	Runs(context.Context, *connect.Request[RunsRequest]) (*connect.Response[RunsReply], error)
 }
 
 // NewServerControlClient constructs a client for the syca.v1.ServerControl service. By default, it
@@ -139,19 +136,12 @@
 			connect.WithSchema(serverControlMethods.ByName("SetFaults")),
 			connect.WithClientOptions(opts...),
 		),
-		runs: connect.NewClient[RunsRequest, RunsReply](
-			httpClient,
-			baseURL+ServerControlRunsProcedure,
-			connect.WithSchema(serverControlMethods.ByName("Runs")),
-			connect.WithClientOptions(opts...),
-		),
 	}
 }
 
 // serverControlClient implements ServerControlClient.
 type serverControlClient struct {
 	setFaults *connect.Client[ServerFaults, ServerFaults]
-	runs      *connect.Client[RunsRequest, RunsReply]
 }
 
 // SetFaults calls syca.v1.ServerControl.SetFaults.
@@ -159,15 +149,9 @@
 	return c.setFaults.CallUnary(ctx, req)
 }
 
-// Runs calls syca.v1.ServerControl.Runs.
-func (c *serverControlClient) Runs(ctx context.Context, req *connect.Request[RunsRequest]) (*connect.Response[RunsReply], error) {
-	return c.runs.CallUnary(ctx, req)
-}
-
 // ServerControlHandler is an implementation of the syca.v1.ServerControl service.
 type ServerControlHandler interface {
 	SetFaults(context.Context, *connect.Request[ServerFaults]) (*connect.Response[ServerFaults], error)
-	Runs(context.Context, *connect.Request[RunsRequest]) (*connect.Response[RunsReply], error)
 }
 
 // NewServerControlHandler builds an HTTP handler from the service implementation. It returns the
@@ -183,18 +167,10 @@
 		connect.WithSchema(serverControlMethods.ByName("SetFaults")),
 		connect.WithHandlerOptions(opts...),
 	)
-	serverControlRunsHandler := connect.NewUnaryHandler(
-		ServerControlRunsProcedure,
-		svc.Runs,
-		connect.WithSchema(serverControlMethods.ByName("Runs")),
-		connect.WithHandlerOptions(opts...),
-	)
 	return "/syca.v1.ServerControl/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ServerControlSetFaultsProcedure:
 			serverControlSetFaultsHandler.ServeHTTP(w, r)
-		case ServerControlRunsProcedure:
-			serverControlRunsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -208,10 +184,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("syca.v1.ServerControl.SetFaults is not implemented"))
 }
 
-func (UnimplementedServerControlHandler) Runs(context.Context, *connect.Request[RunsRequest]) (*connect.Response[RunsReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("syca.v1.ServerControl.Runs is not implemented"))
-}
-
 // RelayControlClient is a client for the syca.v1.RelayControl service.
 type RelayControlClient interface {
 	SetCuts(context.Context, *connect.Request[RelayCuts]) (*connect.Response[RelayCuts], error)
--- a/sycctl/client.go
+++ b/sycctl/client.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/sycctl/plot.go
+++ b/sycctl/plot.go
@@ -7,6 +7,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
 	"sycamorespread.dev/burn"
 	"sycamorespread.dev/sycapb"
 )
--- a/sycctl/policy.go
+++ b/sycctl/policy.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
+
 	"sycamorespread.dev/sycapb"
 )
 
--- a/sycd/main.go
+++ b/sycd/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/daemon"
 )
--- a/sycload/main.go
+++ b/sycload/main.go
@@ -17,13 +17,14 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
 	"sycamorespread.dev/caller"
 	"sycamorespread.dev/load"
 )
 
 // flags are the words of the command line.
 type flags struct {
-	entries, servers []string
+	entries, ledgers []string
 	mix              []string
 	rate             float64
 	surge            float64
@@ -41,7 +42,7 @@
 	f := &flags{}
 	root := &cobra.Command{Use: "sycload", Short: "Open-loop load with checked answers", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true}
 	root.Flags().StringSliceVar(&f.entries, "entries", nil, "IP:PORT of the daemons to use")
-	root.Flags().StringSliceVar(&f.servers, "servers", nil, "IP:PORT of the backend server stand-ins, to count runs")
+	root.Flags().StringSliceVar(&f.ledgers, "ledgers", nil, "ledger files of the backend server stand-ins, to count runs")
 	root.Flags().StringArrayVar(&f.mix, "mix", nil, "SERVICE.METHOD=WEIGHT, with :once for an unrepeatable method")
 	root.Flags().Float64Var(&f.rate, "rate", 100, "actions per second")
 	root.Flags().Float64Var(&f.surge, "surge", 1, "factor on the rate during the surge")
@@ -69,10 +70,6 @@
 	if err != nil {
 		return err
 	}
-	servers, err := addrs("servers", f.servers)
-	if err != nil {
-		return err
-	}
 	kinds, err := f.kinds()
 	if err != nil {
 		return err
@@ -96,12 +93,18 @@
 		BodySize: f.body,
 	}).Run(ctx)
 	runs := load.NewRuns()
-	for _, a := range servers {
-		if err := runs.Collect(ctx, a); err != nil {
+	for _, file := range f.ledgers {
+		if err := runs.Collect(file); err != nil {
 			return err
 		}
 	}
-	runs.Judge(rec)
+	var once []string
+	for _, k := range kinds {
+		if k.Unrepeatable {
+			once = append(once, k.Name)
+		}
+	}
+	runs.Judge(rec, once...)
 	return f.report(rec, runs)
 }
 
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/invar"
 	"sycamorespread.dev/sycapb"
