ticket: a backend server may refuse after the ticket was spent; tests

Cause: the ticket is marked before the run, and the backend server refused the connection, so nothing ran. The bound is 2 for each side of a cut.

--- a/bench/faults.go
+++ b/bench/faults.go
@@ -48,6 +48,8 @@
 	faultGap = 1500 * time.Millisecond
 	// quietEnd is the time without new faults before the end.
 	quietEnd = 12 * time.Second
+	// healWait is how long the news of one side of a healed cut may take to the other.
+	healWait = 3 * time.Second
 	// poisonSends is how often the caller of a poison request sends it.
 	poisonSends = 6
 )
@@ -173,12 +175,15 @@
 			cuts = append(cuts, &sycapb.RelayCut{A: zone, B: other})
 		}
 	}
+	p.isCut.Store(true)
+	defer p.isCut.Store(false)
 	rpc := sycapb.NewRelayControlClient(http.DefaultClient, "http://"+relayAddr().String())
 	if _, err := rpc.SetCuts(ctx, connect.NewRequest(&sycapb.RelayCuts{Cuts: cuts})); err != nil {
 		return errors.Wrap(err, "cut")
 	}
 	wait(ctx, length)
 	_, err := rpc.SetCuts(ctx, connect.NewRequest(&sycapb.RelayCuts{}))
+	wait(ctx, healWait)
 	return errors.Wrap(err, "heal")
 }
 
@@ -213,7 +218,11 @@
 func (p *prover) poison(ctx context.Context, f fault) error {
 	k := p.c.top.kinds[len(p.c.top.kinds)-1]
 	client := p.c.client(0)
+	sides := int64(1)
 	for n := range poisonSends {
+		if p.isCut.Load() {
+			sides = 2
+		}
 		client.Do(ctx, caller.Request{
 			Service: k.Service,
 			Method:  k.Method,
@@ -223,6 +232,7 @@
 		wait(ctx, time.Duration(100*(n+1))*time.Millisecond)
 	}
 	p.poisons.Add(1)
+	p.crashesMost.Add(crashesPerPoison * sides)
 	return nil
 }
 
--- a/bench/prove.go
+++ b/bench/prove.go
@@ -30,13 +30,14 @@
 	proveResends = 4
 	// serverRestart is how soon a crashed backend server starts again.
 	serverRestart = time.Second
-	// crashesPerPoison is the number of backend servers that one poison request may bring down.
+	// crashesPerPoison is the number of backend servers that one poison request may bring down on
+	// each side of a cut; the sides cannot warn each other.
 	crashesPerPoison = 2
 	// endShare is the share of whole actions in the quiet end.
 	endShare = 0.95
 	// watchRevision is how often the revisions of the daemons are read.
 	watchRevision = 500 * time.Millisecond
-	// maxSchedule bounds the printed schedule.
+	// crashCode is the exit code of a backend server that a poison request crashed.
 	crashCode = 3
 )
 
@@ -48,13 +49,16 @@
 
 	cutting, storing, slowing, racing sync.Mutex
 
-	surge    atomic.Bool
-	poisons  atomic.Int64
-	crashes  atomic.Int64
-	stopping atomic.Bool
-	accepts  []accepted
-	highest  map[string]uint64
-	reverted []string
+	surge   atomic.Bool
+	poisons atomic.Int64
+	// crashesMost is the bound on the crashes by the poison requests so far.
+	crashesMost atomic.Int64
+	isCut       atomic.Bool
+	crashes     atomic.Int64
+	stopping    atomic.Bool
+	accepts     []accepted
+	highest     map[string]uint64
+	reverted    []string
 }
 
 // brokenError names an invariant that did not hold.
@@ -251,7 +255,7 @@
 		return &brokenError{invariant: "notrun", detail: strings.Join(runs.Liars, "; ")}
 	case runs.Most > callerAllowance:
 		return &brokenError{invariant: "allowance", detail: fmt.Sprintf("%d runs of one action, %d allowed", runs.Most, callerAllowance)}
-	case p.crashes.Load() > crashesPerPoison*p.poisons.Load():
+	case p.crashes.Load() > p.crashesMost.Load():
 		return &brokenError{invariant: "poison", detail: fmt.Sprintf("%d crashes by %d poison requests", p.crashes.Load(), p.poisons.Load())}
 	case len(p.reverted) > 0:
 		return &brokenError{invariant: "revision", detail: strings.Join(p.reverted, "; ")}
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,142 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/caller"
+	"sycamorespread.dev/sycapb"
+)
+
+// entry is a fake daemon whose answers follow a script.
+type entry struct {
+	mu      sync.Mutex
+	script  []func(*sycapb.Call) (*sycapb.Reply, error)
+	calls   []*sycapb.Call
+	tickets int
+}
+
+// Submit implements the schema's Entry service.
+func (e *entry) Submit(_ context.Context, req *connect.Request[sycapb.Call]) (*connect.Response[sycapb.Reply], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := min(len(e.calls), len(e.script)-1)
+	e.calls = append(e.calls, req.Msg)
+	r, err := e.script[n](req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(r), nil
+}
+
+// OpenTicket implements the schema's Entry service.
+func (e *entry) OpenTicket(context.Context, *connect.Request[sycapb.TicketRequest]) (*connect.Response[sycapb.TicketReply], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tickets++
+	return connect.NewResponse(&sycapb.TicketReply{Ticket: []byte{byte(e.tickets)}}), nil
+}
+
+func client(t *testing.T, e *entry, cfg caller.Config) *caller.Client {
+	mux := http.NewServeMux()
+	mux.Handle(sycapb.NewEntryHandler(e))
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	cfg.Entries = []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))}
+	cfg.Pause = time.Millisecond
+	return caller.New(cfg)
+}
+
+func ends(o sycapb.Outcome, why sycapb.Reason, server string) func(*sycapb.Call) (*sycapb.Reply, error) {
+	return func(c *sycapb.Call) (*sycapb.Reply, error) {
+		r := action.Refusal(c, o, why, "")
+		r.Server = server
+		return r, nil
+	}
+}
+
+func lost(*sycapb.Call) (*sycapb.Reply, error) {
+	return nil, connect.NewError(connect.CodeUnavailable, errors.New("lost"))
+}
+
+var (
+	done      = ends(sycapb.Outcome_OUTCOME_DONE, 0, "home")
+	voided    = ends(sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_SHED, "home")
+	entrySaid = ends(sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_SHED, "")
+)
+
+func pay() caller.Request {
+	return caller.Request{Service: "payments", Method: "pay", Unrepeatable: true, Timeout: 5 * time.Second}
+}
+
+// An entry that refuses by itself does not know that the lost send before it
+// ran; a new ticket would let the call run a second time.
+func TestTicketIsKeptAfterALostAnswer(t *testing.T) {
+	e := &entry{script: []func(*sycapb.Call) (*sycapb.Reply, error){lost, entrySaid, done}}
+	res := client(t, e, caller.Config{Resends: 5, Allowance: 64}).Do(context.Background(), pay())
+	if res.Outcome != sycapb.Outcome_OUTCOME_DONE || e.tickets != 1 {
+		t.Fatalf("outcome %s with %d tickets, want one ticket", res.Outcome, e.tickets)
+	}
+	if !e.calls[0].First || e.calls[1].First || e.calls[2].First {
+		t.Fatal("only the first send of a ticket is marked first")
+	}
+}
+
+func TestVoidedTicketIsReplaced(t *testing.T) {
+	e := &entry{script: []func(*sycapb.Call) (*sycapb.Reply, error){voided, done}}
+	res := client(t, e, caller.Config{Resends: 5, Allowance: 64}).Do(context.Background(), pay())
+	if res.Outcome != sycapb.Outcome_OUTCOME_DONE || e.tickets != 2 || !e.calls[1].First {
+		t.Fatalf("outcome %s with %d tickets", res.Outcome, e.tickets)
+	}
+}
+
+func TestNotRunIsNotSaidAfterALostAnswer(t *testing.T) {
+	e := &entry{script: []func(*sycapb.Call) (*sycapb.Reply, error){lost, entrySaid}}
+	req := caller.Request{Service: "plots", Method: "get", Timeout: time.Second}
+	res := client(t, e, caller.Config{Resends: 2, Allowance: 64}).Do(context.Background(), req)
+	if res.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
+		t.Fatal("an action that may have run is called not run")
+	}
+}
+
+func TestResendsShareOneAllowance(t *testing.T) {
+	spendAll := func(c *sycapb.Call) (*sycapb.Reply, error) {
+		r := action.Refusal(c, sycapb.Outcome_OUTCOME_FAILED, sycapb.Reason_REASON_DEEPER, "")
+		r.Unspent = 0
+		return r, nil
+	}
+	e := &entry{script: []func(*sycapb.Call) (*sycapb.Reply, error){spendAll}}
+	req := caller.Request{Service: "plots", Method: "get", Timeout: 5 * time.Second}
+	client(t, e, caller.Config{Resends: 100, Allowance: 16}).Do(context.Background(), req)
+	sum := uint32(0)
+	for _, c := range e.calls {
+		sum += c.Allowance
+	}
+	if sum > 16 {
+		t.Fatalf("%d runs were allowed over %d sends, want 16", sum, len(e.calls))
+	}
+}
+
+func TestForeignAnswerIsDiscarded(t *testing.T) {
+	foreign := func(c *sycapb.Call) (*sycapb.Reply, error) {
+		r := action.Refusal(c, sycapb.Outcome_OUTCOME_DONE, 0, "")
+		r.AttemptId++
+		return r, nil
+	}
+	e := &entry{script: []func(*sycapb.Call) (*sycapb.Reply, error){foreign, done}}
+	req := caller.Request{Service: "plots", Method: "get", Timeout: time.Second}
+	res := client(t, e, caller.Config{Resends: 2, Allowance: 64}).Do(context.Background(), req)
+	if res.Mismatches != 1 || res.Sends != 2 || res.Outcome != sycapb.Outcome_OUTCOME_DONE {
+		t.Fatalf("mismatches=%d sends=%d outcome=%s", res.Mismatches, res.Sends, res.Outcome)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -151,7 +151,7 @@
 	}
 	h := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	d.platform = store.New(h, "http://"+d.cfg.Platform.String())
-	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now}
+	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now, Sleep: sleep}
 }
 
 func (d *Daemon) listen() error {
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,108 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/peer"
+	"sycamorespread.dev/sycapb"
+)
+
+// serve starts a peer that echoes calls after a random time, in any order.
+func serve(t *testing.T, longest time.Duration) (netip.AddrPort, *net.TCPListener) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var g errgroup.Group
+	s := &peer.Server{OnForward: func(ctx context.Context, c *sycapb.Call) *sycapb.Reply {
+		late := time.NewTimer(rand.N(longest))
+		defer late.Stop()
+		select {
+		case <-late.C:
+		case <-ctx.Done():
+		}
+		body := fmt.Appendf(nil, "answer to %d", c.AttemptId)
+		r := action.Refusal(c, sycapb.Outcome_OUTCOME_DONE, 0, "")
+		r.Body, r.Length, r.Digest = body, uint32(len(body)), action.Digest(body)
+		return r
+	}}
+	g.Go(func() error { return s.Serve(ctx, l) })
+	t.Cleanup(func() {
+		stop()
+		_ = g.Wait()
+	})
+	return l.Addr().(*net.TCPAddr).AddrPort(), l
+}
+
+func call() *sycapb.Call {
+	id := action.NewID()
+	return &sycapb.Call{ActionId: id[:], AttemptId: rand.Uint64()}
+}
+
+// Calls that are cancelled at random leave late answers behind; none of them
+// may reach another call.
+func TestLateAnswersReachNobodyElse(t *testing.T) {
+	addr, _ := serve(t, 4*time.Millisecond)
+	c := peer.New(peer.Config{Idle: 4, IdleFor: time.Minute})
+	defer func() { _ = c.Close() }()
+	var g errgroup.Group
+	for range 16 {
+		g.Go(func() error {
+			for range 200 {
+				if err := once(c, addr); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func once(c *peer.Client, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(context.Background(), rand.N(6*time.Millisecond))
+	defer cancel()
+	req := call()
+	r, err := c.Forward(ctx, addr, req)
+	if err != nil {
+		return nil
+	}
+	if err := action.Verify(req, r); err != nil {
+		return err
+	}
+	if want := fmt.Sprintf("answer to %d", req.AttemptId); string(r.Body) != want {
+		return fmt.Errorf("got %q, want %q", r.Body, want)
+	}
+	return nil
+}
+
+func TestErrorsTellWhetherTheCallWasSent(t *testing.T) {
+	addr, l := serve(t, time.Hour)
+	c := peer.New(peer.Config{Idle: 4, IdleFor: time.Minute})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Forward(ctx, addr, call())
+	var lost *peer.LostError
+	if !errors.As(err, &lost) {
+		t.Errorf("a call without an answer ended with %v", err)
+	}
+	_ = l.Close()
+	_, err = c.Forward(context.Background(), addr, call())
+	var dial *peer.DialError
+	if !errors.As(err, &dial) {
+		t.Errorf("a call to nobody ended with %v", err)
+	}
+}
--- a/policy/registry.go
+++ b/policy/registry.go
@@ -35,6 +35,8 @@
 	Put func(ctx context.Context, key string, value []byte, base, lease uint64) (*sycapb.PutReply, error)
 	// Now reads the clock for the dates of changes.
 	Now func() time.Time
+	// Sleep waits between the tries of an accept and reports whether ctx is still live.
+	Sleep func(ctx context.Context, d time.Duration) bool
 }
 
 // ConflictError reports that another change was accepted first.
@@ -178,7 +180,7 @@
 	}
 	sent := false
 	for try := range settleTries {
-		if try > 0 && !pause(ctx, settlePause) {
+		if try > 0 && !r.Sleep(ctx, settlePause) {
 			break
 		}
 		var done bool
@@ -249,17 +251,6 @@
 	return last.Approve && last.Author != c.Author
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Load reads the policy that a head names.
 func (r *Registry) Load(ctx context.Context, head *sycapb.Head) (*Policy, error) {
 	c, _, err := r.change(ctx, head.ChangeId)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -217,16 +217,17 @@
 func (r *Run) Spend() {
 	r.home.mu.Lock()
 	defer r.home.mu.Unlock()
-	invar.Check(r.first && !r.rec.spent, "ticket", action.ID{}, "ticket %x spent twice", r.nonce)
+	invar.Check(r.first && !r.rec.spent && r.rec.reply == nil, "ticket", action.ID{}, "ticket %x spent twice", r.nonce)
 	r.rec.spent = true
 }
 
-// Void ends a ticket whose call was refused before the run. The ticket never
-// runs afterwards, so that the refusal stays true for late duplicates.
+// Void ends a ticket whose call did not run, whether it was refused before
+// Spend or by the backend server after it. The ticket never runs afterwards,
+// so that the refusal stays true for late duplicates.
 func (r *Run) Void(reply *sycapb.Reply) {
 	r.home.mu.Lock()
 	defer r.home.mu.Unlock()
-	invar.Check(r.first && !r.rec.spent, "ticket", action.ID{}, "ticket %x voided after it was spent", r.nonce)
+	invar.Check(r.first && r.rec.reply == nil, "ticket", action.ID{}, "ticket %x voided after it ended", r.nonce)
 	r.end(reply)
 }
 
