daemon: a restarted daemon takes no work before it knows the others

It now joins before it announces itself as ready, members that left are probed like dead ones, and a caller changes its entry when it reaches nobody. Ruled out: lost answers at the close of connections (no call was lost in flight). Tests: the daemon's own, with fake backend servers in one process.

--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -160,12 +160,23 @@
 	return p, nil
 }
 
+// serverOf returns where the backend server of i listens.
+func (c *cluster) serverOf(i *instance) netip.AddrPort {
+	if c.top.shared {
+		return c.instances[0].backend()
+	}
+	return i.backend()
+}
+
 // ledger is where the backend server stand-in of i writes its runs.
 func (c *cluster) ledger(i *instance) string {
 	return filepath.Join(c.opt.dir, i.id+"-ledger.txt")
 }
 
 func (c *cluster) startServer(i *instance) error {
+	if c.top.shared && i != c.instances[0] {
+		return nil
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "[server]\nservice = %s\naddr = %s\ndaemon = %s\nslots = %d\nledger = %s\n[methods]\n",
 		i.service, i.backend(), i.http(), i.slots, c.ledger(i))
@@ -203,7 +214,7 @@
 		fmt.Fprintf(&b, "advertise = %s\n", netip.AddrPortFrom(i.ip, doorPort))
 	}
 	fmt.Fprintf(&b, "[platform]\naddr = %s\n", storeAddr())
-	fmt.Fprintf(&b, "[server]\nservice = %s\naddr = %s\nslots = %d\nconnections = %d\n", i.service, i.backend(), i.slots, i.conns)
+	fmt.Fprintf(&b, "[server]\nservice = %s\naddr = %s\nslots = %d\nconnections = %d\n", i.service, c.serverOf(i), i.slots, i.conns)
 	fmt.Fprintf(&b, "[control]\nmode = %s\n", c.opt.mode)
 	return b.String()
 }
--- a/bench/main.go
+++ b/bench/main.go
@@ -39,7 +39,7 @@
 		}
 		return freePort()
 	}
-	root.AddCommand(demoCommand(&bin, &dir), surgeCommand(&bin, &dir), proveCommand(&bin, &dir))
+	root.AddCommand(demoCommand(&bin, &dir), surgeCommand(&bin, &dir), proveCommand(&bin, &dir), slopesCommand(&bin, &dir))
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
--- /dev/null
+++ b/bench/memory.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/allow"
+	"sycamorespread.dev/burn"
+	"sycamorespread.dev/member"
+	"sycamorespread.dev/route"
+	"sycamorespread.dev/sycapb"
+	"sycamorespread.dev/ticket"
+)
+
+// fullMembers, fullServices and fullZones are the fleet of the plan.
+const (
+	fullMembers  = 2200
+	fullServices = 80
+	fullZones    = 7
+	// manyItems is the number of items that a memory slope is taken over.
+	manyItems = 20_000
+)
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// grown returns the bytes that f leaves in use, and keeps what it returns.
+func grown(f func() any) float64 {
+	before := heap()
+	kept := f()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return after - before
+}
+
+// slopesMemory measures the parts of a daemon at the size of the plan, in
+// this process.
+func slopesMemory() error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "PART\tVALUE\tUNIT")
+	n := member.New(member.Config{
+		Self:     fullEntry(0),
+		Now:      time.Now,
+		Revision: func() uint64 { return 0 },
+		Exchange: func(context.Context, netip.AddrPort, *sycapb.SyncRequest) (*sycapb.SyncReply, error) { return nil, nil },
+	}, member.Conn{Write: func([]byte, netip.AddrPort) error { return nil }})
+	var entries []*sycapb.MemberEntry
+	bytes := 0
+	for i := 1; i < fullMembers; i++ {
+		e := fullEntry(i)
+		bytes += proto.Size(e)
+		entries = append(entries, e)
+	}
+	members := grown(func() any {
+		n.Merge(entries)
+		return n
+	})
+	fmt.Fprintf(w, "member entry on the wire\t%d\tbytes\n", bytes/len(entries))
+	fmt.Fprintf(w, "memory per member\t%.0f\tbytes\n", members/fullMembers)
+	fmt.Fprintf(w, "digests of %d members\t%.0f\tus\n", fullMembers, micros(func() { n.Answer(&sycapb.SyncRequest{Digests: map[string]uint64{}}) }))
+	if err := routeSlope(w, entries); err != nil {
+		return err
+	}
+	if err := ticketSlope(w); err != nil {
+		return err
+	}
+	actions := allow.NewActions(time.Hour, time.Now)
+	fmt.Fprintf(w, "memory per remembered action\t%.0f\tbytes\n", grown(func() any {
+		for range manyItems {
+			actions.Account(action.NewID(), 8)
+		}
+		return actions
+	})/manyItems)
+	report := burn.New(time.Now)
+	fmt.Fprintf(w, "memory per method in the burn report\t%.0f\tbytes\n", grown(func() any {
+		for i := range 100 {
+			report.Record(burn.Method{Service: "s", Name: fmt.Sprint(i)}, 0.99, true)
+		}
+		return report
+	})/100)
+	return w.Flush()
+}
+
+func fullEntry(i int) *sycapb.MemberEntry {
+	zone := i % fullZones
+	addr := netip.AddrFrom4([4]byte{10, byte(zone), byte(i >> 8), byte(i)})
+	return &sycapb.MemberEntry{
+		Id:          fmt.Sprintf("service%02d-%04d", i%fullServices, i),
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Service:     fmt.Sprintf("service%02d", i%fullServices),
+		Region:      "region-one",
+		Zone:        fmt.Sprintf("region-one-%c", 'a'+zone),
+		Addr:        netip.AddrPortFrom(addr, 7100).String(),
+		Http:        netip.AddrPortFrom(addr, 7101).String(),
+		Slots:       60,
+	}
+}
+
+// micros returns the mean time of one call of f.
+func micros(f func()) float64 {
+	const times = 20
+	start := time.Now()
+	for range times {
+		f()
+	}
+	return float64(time.Since(start).Microseconds()) / times
+}
+
+func routeSlope(w *tabwriter.Writer, entries []*sycapb.MemberEntry) error {
+	targets := make([]route.Target, 0, len(entries))
+	for _, e := range entries {
+		addr, err := netip.ParseAddrPort(e.Addr)
+		if err != nil {
+			return errors.Wrap(err, "route slope")
+		}
+		targets = append(targets, route.Target{ID: e.Id, Addr: addr, Service: e.Service, Zone: e.Zone, Slots: 60})
+	}
+	table := route.New("service00-0000", "region-one-a", time.Now)
+	table.Update(targets)
+	fmt.Fprintf(w, "rebuild of the route table for %d members\t%.0f\tus\n", len(targets), micros(func() { table.Update(targets) }))
+	var pickErr error
+	pick := micros(func() {
+		for range 1000 {
+			try, err := table.Pick(route.Request{Service: "service07", Method: "m"})
+			if err != nil {
+				pickErr = err
+				return
+			}
+			try.Done(route.Report{Level: action.Open})
+		}
+	})
+	fmt.Fprintf(w, "one routing choice among %d servers\t%.2f\tus\n", fullMembers/fullServices, pick/1000)
+	return pickErr
+}
+
+func ticketSlope(w *tabwriter.Writer) error {
+	start := time.Now()
+	home := ticket.NewHome("payments-0", 1, time.Hour, func() time.Duration { return time.Since(start) })
+	var err error
+	size := grown(func() any {
+		for range manyItems {
+			raw, issueErr := home.Issue("payments", "pay")
+			if issueErr != nil {
+				err = issueErr
+				return home
+			}
+			run, beginErr := home.Begin(raw, "payments", "pay", 1)
+			if beginErr != nil {
+				err = beginErr
+				return home
+			}
+			run.Spend()
+			run.Finish(&sycapb.Reply{Body: make([]byte, 256)})
+		}
+		return home
+	})
+	fmt.Fprintf(w, "memory per remembered ticket with a 256 byte answer\t%.0f\tbytes\n", size/manyItems)
+	return err
+}
--- /dev/null
+++ b/bench/slopes.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/load"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// slopeWindow is how long each state is measured.
+	slopeWindow = 10 * time.Second
+	// slopeSettle is left out after the start and after churn.
+	slopeSettle = 3 * time.Second
+	// churnEvery is the time between two restarts while churn is measured.
+	churnEvery = time.Second
+	// clockTicks is the number of processor time units per second in /proc.
+	clockTicks = 100.0
+	// slopeServices is the number of services of the fleet without load.
+	slopeServices = 8
+)
+
+// usage is what a set of processes used, as means of one process.
+type usage struct {
+	cpu     float64 // share of a core
+	rss     float64 // MB
+	in, out float64 // bytes a second
+	reads   float64 // platform calls a second of the whole fleet
+	writes  float64
+}
+
+func slopesCommand(bin, dir *string) *cobra.Command {
+	var sizes []int
+	c := &cobra.Command{Use: "slopes", Short: "Measure control cost and call cost", Args: cobra.NoArgs}
+	c.Flags().IntSliceVar(&sizes, "sizes", []int{10, 40, 100, 200}, "numbers of daemons")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := slopesFleet(c.Context(), *bin, *dir, sizes); err != nil {
+			return err
+		}
+		if err := slopesCalls(c.Context(), *bin, *dir); err != nil {
+			return err
+		}
+		return slopesMemory()
+	}
+	return c
+}
+
+// slopesFleet measures fleets of daemons that carry no calls.
+func slopesFleet(ctx context.Context, bin, dir string, sizes []int) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "DAEMONS\tSTATE\tCPU % OF A CORE\tRSS MB\tBYTES/S IN\tBYTES/S OUT\tPLATFORM READS/S\tWRITES/S\tFORCE MS\tJOIN MS")
+	for _, n := range sizes {
+		if err := slopeOne(ctx, w, options{bin: bin, dir: filepath.Join(dir, strconv.Itoa(n)), mode: "full", level: "warning", leave: 100 * time.Millisecond}, n); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// idleTopology is a fleet of n daemons that share one backend server.
+func idleTopology(n int) topology {
+	top := topology{name: "idle", region: "r", zones: 4, shared: true, policy: kolonihavePolicy}
+	for i := range slopeServices {
+		servers := n / slopeServices
+		if i < n%slopeServices {
+			servers++
+		}
+		top.services = append(top.services, serviceDef{name: fmt.Sprintf("service%d", i), servers: servers, slots: 10, conns: 10})
+	}
+	return top
+}
+
+func slopeOne(ctx context.Context, w *tabwriter.Writer, opt options, n int) (err error) {
+	c, err := newCluster(idleTopology(n), opt)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if stopErr := c.stop(); err == nil {
+			err = stopErr
+		}
+	}()
+	start := time.Now()
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	joined := time.Since(start)
+	force, err := c.install(ctx, c.top.policy)
+	if err != nil {
+		return err
+	}
+	time.Sleep(slopeSettle)
+	idle, err := c.measure(ctx, func() error {
+		time.Sleep(slopeWindow)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	churn, err := c.measure(ctx, func() error { return c.churn() })
+	if err != nil {
+		return err
+	}
+	idle.print(w, n, "idle", force, joined)
+	churn.print(w, n, "a restart a second", force, joined)
+	return nil
+}
+
+func (u usage) print(w *tabwriter.Writer, n int, state string, force, joined time.Duration) {
+	fmt.Fprintf(w, "%d\t%s\t%.2f\t%.1f\t%.0f\t%.0f\t%.1f\t%.1f\t%d\t%d\n",
+		n, state, 100*u.cpu, u.rss, u.in, u.out, u.reads, u.writes, force.Milliseconds(), joined.Milliseconds())
+}
+
+// churn kills and restarts one daemon after another for slopeWindow. The last
+// ones are taken, and left out of the measurement.
+func (c *cluster) churn() error {
+	for k := range int(slopeWindow / churnEvery) {
+		i := c.instances[len(c.instances)-1-k%churned]
+		i.daemon.signal(9)
+		<-i.daemon.done
+		if err := c.startDaemon(i); err != nil {
+			return err
+		}
+		time.Sleep(churnEvery)
+	}
+	return nil
+}
+
+// churned is the number of daemons that are restarted in turns.
+const churned = 3
+
+// sample is the state of the counters at one moment.
+type sample struct {
+	at      time.Time
+	cpu     float64
+	in, out float64
+	counts  *sycapb.StoreCounts
+}
+
+// measure returns the mean use of the daemons while f runs.
+func (c *cluster) measure(ctx context.Context, f func() error) (usage, error) {
+	before, err := c.sample(ctx)
+	if err != nil {
+		return usage{}, err
+	}
+	if err := f(); err != nil {
+		return usage{}, err
+	}
+	after, err := c.sample(ctx)
+	if err != nil {
+		return usage{}, err
+	}
+	n := float64(len(c.measured()))
+	secs := after.at.Sub(before.at).Seconds()
+	u := usage{
+		cpu:    (after.cpu - before.cpu) / secs / n,
+		in:     (after.in - before.in) / secs / n,
+		out:    (after.out - before.out) / secs / n,
+		reads:  float64(after.counts.Reads-before.counts.Reads) / secs,
+		writes: float64(after.counts.Writes-before.counts.Writes) / secs,
+	}
+	for _, i := range c.measured() {
+		mb, err := rssMB(i.daemon.cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		u.rss += mb / n
+	}
+	return u, nil
+}
+
+// measured returns the daemons that are never restarted.
+func (c *cluster) measured() []*instance {
+	return c.instances[:len(c.instances)-churned]
+}
+
+func (c *cluster) sample(ctx context.Context) (sample, error) {
+	s := sample{at: time.Now()}
+	for _, i := range c.measured() {
+		cpu, err := cpuSeconds(i.daemon.cmd.Process.Pid)
+		if err != nil {
+			return s, err
+		}
+		in, err := c.metric(ctx, i, "member.bytes_in")
+		if err != nil {
+			return s, err
+		}
+		out, err := c.metric(ctx, i, "member.bytes_out")
+		if err != nil {
+			return s, err
+		}
+		s.cpu += cpu
+		s.in += in
+		s.out += out
+	}
+	var err error
+	s.counts, err = c.faults(ctx, &sycapb.StoreFaults{})
+	return s, err
+}
+
+// cpuSeconds returns the processor time of a process.
+func cpuSeconds(pid int) (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	const utime, stime = 11, 12
+	u, _ := strconv.ParseFloat(fields[utime], 64)
+	s, _ := strconv.ParseFloat(fields[stime], 64)
+	return (u + s) / clockTicks, nil
+}
+
+// rssMB returns the resident memory of a process.
+func rssMB(pid int) (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "memory")
+	}
+	_, rest, _ := strings.Cut(string(b), "VmRSS:")
+	fields := strings.Fields(rest)
+	kb, _ := strconv.ParseFloat(fields[0], 64)
+	return kb / 1024, nil
+}
+
+// slopesCalls measures the cost of calls on the Kolonihave deployment.
+func slopesCalls(ctx context.Context, bin, dir string) (err error) {
+	opt := options{bin: bin, dir: filepath.Join(dir, "calls"), mode: "full", level: "warning", leave: 100 * time.Millisecond}
+	c, err := newCluster(kolonihave(), opt)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if stopErr := c.stop(); err == nil {
+			err = stopErr
+		}
+	}()
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	if _, err := c.install(ctx, c.top.policy); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "ACTIONS/S\tRUNS/S\tADDED P50 MS\tADDED P99 MS\tDAEMON CPU US/RUN\tRSS MB")
+	for _, rate := range []float64{0, 100, 300, 600} {
+		if err := c.slopeRate(ctx, w, rate); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func (c *cluster) slopeRate(ctx context.Context, w *tabwriter.Writer, rate float64) error {
+	gen := load.New(load.Config{
+		Client:   c.client(0),
+		Kinds:    c.top.kinds,
+		Rate:     func(time.Duration) float64 { return rate },
+		Duration: slopeWindow,
+		Seed:     1,
+		BodySize: 256,
+	})
+	before, err := c.total()
+	if err != nil {
+		return err
+	}
+	var add added
+	var u usage
+	g, inner := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		gen.Run(inner)
+		return nil
+	})
+	g.Go(func() error {
+		var err error
+		u, err = c.measure(inner, func() error {
+			time.Sleep(slopeWindow / 2)
+			return nil
+		})
+		if err == nil {
+			add, err = c.added(inner)
+		}
+		return err
+	})
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	after, err := c.total()
+	if err != nil {
+		return err
+	}
+	runs := (float64(after-before) - 2*addedCalls) / slopeWindow.Seconds()
+	perRun := 0.0
+	if rate > 0 {
+		perRun = u.cpu * float64(len(c.measured())) / runs * 1e6
+	}
+	fmt.Fprintf(w, "%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.1f\n", rate, runs, ms(add.p50), ms(add.p99), perRun, u.rss)
+	return nil
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// total returns the runs of all backend server stand-ins so far.
+func (c *cluster) total() (uint64, error) {
+	runs := load.NewRuns()
+	for _, i := range c.instances {
+		if err := runs.Collect(c.ledger(i)); err != nil {
+			return 0, err
+		}
+	}
+	return runs.Total, nil
+}
--- a/bench/topology.go
+++ b/bench/topology.go
@@ -20,9 +20,11 @@
 type topology struct {
 	name, region string
 	zones        int
-	services     []serviceDef
-	policy       string
-	kinds        []load.Kind
+	// shared tells that all daemons stand before one backend server.
+	shared   bool
+	services []serviceDef
+	policy   string
+	kinds    []load.Kind
 	// extra are kinds that only the randomised run sends.
 	extra []load.Kind
 	// deep is the bottleneck service, and deepKinds the kinds that need it.
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -248,7 +248,7 @@
 	switch r.Outcome {
 	case sycapb.Outcome_OUTCOME_NOTRUN:
 		s.refused(r)
-		if r.Reason == sycapb.Reason_REASON_LEAVING {
+		if r.Reason == sycapb.Reason_REASON_LEAVING || r.Reason == sycapb.Reason_REASON_UNREACHABLE {
 			s.entry = (s.entry + 1) % len(c.rpcs)
 		}
 	case sycapb.Outcome_OUTCOME_FAILED, sycapb.Outcome_OUTCOME_UNKNOWN:
@@ -281,7 +281,7 @@
 		return false
 	}
 	if r.Msg.Ticket == nil {
-		if r.Msg.Reason == sycapb.Reason_REASON_LEAVING {
+		if r.Msg.Reason == sycapb.Reason_REASON_LEAVING || r.Msg.Reason == sycapb.Reason_REASON_UNREACHABLE {
 			s.entry = (s.entry + 1) % len(c.rpcs)
 		}
 		s.res.Outcome, s.res.Reason = sycapb.Outcome_OUTCOME_NOTRUN, r.Msg.Reason
--- /dev/null
+++ b/daemon/cluster_test.go
@@ -0,0 +1,245 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/caller"
+	"sycamorespread.dev/config"
+	"sycamorespread.dev/daemon"
+	"sycamorespread.dev/sycapb"
+)
+
+const policyText = `[class dues]
+rank = 0
+[class lookups]
+rank = 2
+[method front.view]
+class = lookups
+allowance = 12
+objective = 0.99
+[method front.pay]
+class = dues
+repeatable = no
+allowance = 8
+objective = 0.999
+[method back.get]
+class = lookups
+allowance = 8
+objective = 0.99
+body_max = 1000
+`
+
+// backend is a fake backend server that runs a function.
+type backend struct {
+	run    func(ctx context.Context, m *sycapb.RunRequest) (*sycapb.RunReply, error)
+	runs   atomic.Int64
+	server *http.Server
+	mu     sync.Mutex
+	listen string
+}
+
+// Run implements the schema's Backend service.
+func (b *backend) Run(ctx context.Context, req *connect.Request[sycapb.RunRequest]) (*connect.Response[sycapb.RunReply], error) {
+	b.runs.Add(1)
+	r, err := b.run(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	r.RunId = req.Msg.RunId
+	r.Digest = action.Digest(r.Body)
+	return connect.NewResponse(r), nil
+}
+
+// Health implements the schema's Backend service.
+func (b *backend) Health(context.Context, *connect.Request[sycapb.HealthRequest]) (*connect.Response[sycapb.HealthReply], error) {
+	return connect.NewResponse(&sycapb.HealthReply{Ok: true}), nil
+}
+
+// Load implements the schema's Backend service.
+func (b *backend) Load(context.Context, *connect.Request[sycapb.LoadRequest]) (*connect.Response[sycapb.LoadReply], error) {
+	return connect.NewResponse(&sycapb.LoadReply{}), nil
+}
+
+// Drain implements the schema's Backend service.
+func (b *backend) Drain(context.Context, *connect.Request[sycapb.DrainRequest]) (*connect.Response[sycapb.DrainReply], error) {
+	return connect.NewResponse(&sycapb.DrainReply{}), nil
+}
+
+func (b *backend) start(t *testing.T, g *errgroup.Group) {
+	mux := http.NewServeMux()
+	mux.Handle(sycapb.NewBackendHandler(b))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, err := net.Listen("tcp", b.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.listen = l.Addr().String()
+	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	s := b.server
+	g.Go(func() error {
+		_ = s.Serve(l)
+		return nil
+	})
+}
+
+// crash closes the listener and every connection.
+func (b *backend) crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.server.Close()
+}
+
+// node is one daemon of a test with its fake backend server.
+type node struct {
+	*backend
+	cfg  *config.Config
+	stop context.CancelFunc
+	done chan error
+}
+
+// fleet is a small deployment in one process.
+type fleet struct {
+	t     *testing.T
+	g     errgroup.Group
+	nodes []*node
+}
+
+// freeAddr returns an address whose TCP and UDP ports were free just now.
+func freeAddr(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t}
+	t.Cleanup(f.close)
+	return f
+}
+
+// add starts a daemon with a backend server that answers with the body.
+func (f *fleet) add(service string, slots int) *node {
+	f.t.Helper()
+	text := fmt.Sprintf("[daemon]\nid = %s-%d\nregion = r\nzone = z\naddr = %s\nhttp = %s\nleave_wait = 300ms\nprobe = 200ms\n",
+		service, len(f.nodes), freeAddr(f.t), freeAddr(f.t))
+	if len(f.nodes) > 0 {
+		text += fmt.Sprintf("peers = %s\n", f.nodes[0].cfg.Addr)
+	}
+	b := &backend{listen: "127.0.0.1:0", run: echo}
+	b.start(f.t, &f.g)
+	text += fmt.Sprintf("[server]\nservice = %s\naddr = %s\nslots = %d\nconnections = 1000\n", service, b.listen, slots)
+	text += fmt.Sprintf("[policy]\nfile = %s/policy.ini\n", f.t.TempDir())
+	n := &node{backend: b, cfg: f.parse(text)}
+	f.nodes = append(f.nodes, n)
+	f.run(n)
+	return n
+}
+
+func (f *fleet) parse(text string) *config.Config {
+	cfg, err := config.Parse("test", []byte(text))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	writeFile(f.t, cfg.PolicyFile, policyText)
+	return cfg
+}
+
+// run starts the daemon of a node, also a second time.
+func (f *fleet) run(n *node) {
+	f.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d, err := daemon.New(n.cfg, logrus.NewEntry(log))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.done = make(chan error, 1)
+	done := n.done
+	f.g.Go(func() error {
+		done <- d.Run(ctx)
+		return nil
+	})
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range f.nodes {
+		if err := <-n.done; err != nil {
+			f.t.Errorf("%s: %v", n.cfg.ID, err)
+		}
+		n.crash()
+	}
+	_ = f.g.Wait()
+}
+
+func (n *node) operator() sycapb.OperatorClient {
+	return sycapb.NewOperatorClient(http.DefaultClient, "http://"+n.cfg.HTTP.String())
+}
+
+// ready waits until every daemon knows all members in service.
+func (f *fleet) ready() {
+	f.t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for _, n := range f.nodes {
+		for n.knows() != len(f.nodes) {
+			if time.Now().After(deadline) {
+				f.t.Fatalf("%s knows %d members", n.cfg.ID, n.knows())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+func (n *node) knows() int {
+	r, err := n.operator().Members(context.Background(), connect.NewRequest(&sycapb.MembersRequest{}))
+	if err != nil {
+		return 0
+	}
+	live := 0
+	for _, m := range r.Msg.Members {
+		if m.Entry.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !m.Entry.Down && !m.Entry.Leaving {
+			live++
+		}
+	}
+	return live
+}
+
+func (f *fleet) client(resends int, entries ...*node) *caller.Client {
+	cfg := caller.Config{Resends: resends, Pause: 20 * time.Millisecond, Impatient: true, Allowance: 32}
+	for _, n := range entries {
+		cfg.Entries = append(cfg.Entries, n.cfg.HTTP)
+	}
+	return caller.New(cfg)
+}
+
+func (n *node) entry() sycapb.EntryClient {
+	return sycapb.NewEntryClient(http.DefaultClient, "http://"+n.cfg.HTTP.String())
+}
+
+func echo(_ context.Context, m *sycapb.RunRequest) (*sycapb.RunReply, error) {
+	return &sycapb.RunReply{Body: bytes.Clone(m.Body)}, nil
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,6 +88,7 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	down        atomic.Bool
+	joined      atomic.Bool
 	inflight    atomic.Int64
 	routesStale chan struct{}
 	pulls       chan pull
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -160,7 +160,8 @@
 		return result{reply: o.noTarget(err)}
 	}
 	share := d.take(o)
-	if share == 0 {
+	// A resend with a ticket needs no runs of its own: it may join the one run.
+	if share == 0 && o.home == "" {
 		try.Fail(false)
 		r := o.refuse(sycapb.Reason_REASON_ALLOWANCE, "no runs are left for the action")
 		r.Starved = true
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -80,10 +80,8 @@
 		return refuse(sycapb.Reason_REASON_DEADLINE, "the deadline is past")
 	case action.Digest(c.Body) != c.Digest:
 		return nil, invalid(c, &action.InvalidError{Field: "digest", Problem: "does not match the body"})
-	case c.Allowance == 0:
-		r := action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_ALLOWANCE, "no runs are left for the action")
-		r.Starved = true
-		return nil, r
+	case c.Allowance == 0 && len(c.Ticket) == 0:
+		return nil, starved(c)
 	}
 	a := &arrival{
 		call:     c,
@@ -98,6 +96,13 @@
 	return a, nil
 }
 
+// starved refuses an attempt that has no run to spend.
+func starved(c *sycapb.Call) *sycapb.Reply {
+	r := action.Refusal(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_ALLOWANCE, "no runs are left for the action")
+	r.Starved = true
+	return r
+}
+
 // full reports whether the daemon controls, rather than being a baseline.
 func (d *Daemon) full() bool {
 	return d.cfg.Mode == admit.Full
@@ -112,6 +117,11 @@
 	if !run.First() {
 		return d.join(ctx, a, run)
 	}
+	if a.call.Allowance == 0 {
+		r := starved(a.call)
+		run.Void(r)
+		return r
+	}
 	a.run = run
 	// The reply is kept for resends, so the run goes on when this caller leaves.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.deadline)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -26,7 +26,11 @@
 	// seedEvery is the time between two renewals.
 	seedEvery = 10 * time.Second
 	// joinEvery is the time between two tries to find a first member.
-	joinEvery = 500 * time.Millisecond
+	joinEvery = 200 * time.Millisecond
+	// joinGrace is how long a daemon that reaches nobody waits before it takes work.
+	joinGrace = 1500 * time.Millisecond
+	// maxContacts bounds the members asked in one try, beside the seeds.
+	maxContacts = 5
 	// routeGap is the least time between two rebuilds of the route table.
 	routeGap = 20 * time.Millisecond
 
@@ -44,6 +48,7 @@
 			Addr:        d.cfg.Advertise.String(),
 			Http:        d.cfg.HTTP.String(),
 			Slots:       uint32(d.cfg.Slots),
+			Down:        true,
 		},
 		Probe:    d.cfg.Probe,
 		Now:      time.Now,
@@ -117,13 +122,18 @@
 	return list
 }
 
-// joinLoop contacts the first members: those of the settings and the seeds of
-// the platform. It goes on as long as no other member is known.
+// joinLoop exchanges entries with a first member, and again when all are
+// gone. The daemon takes no work until then, since it could not pass on the
+// deeper calls; without anyone to ask it takes work after joinGrace.
 func (d *Daemon) joinLoop(ctx context.Context) error {
+	start := time.Now()
+	joined := false
 	for {
-		known := d.node.Rows()
-		if len(known) == 0 {
-			d.node.Join(ctx, d.firstContacts(ctx))
+		if !joined || len(d.node.Rows()) == 0 {
+			joined = d.node.Join(ctx, d.firstContacts(ctx))
+		}
+		if joined || time.Since(start) > joinGrace {
+			d.setJoined()
 		}
 		if !sleep(ctx, joinEvery) {
 			return nil
@@ -131,8 +141,22 @@
 	}
 }
 
+// setJoined announces this daemon as ready for work, once.
+func (d *Daemon) setJoined() {
+	if d.joined.Swap(true) {
+		return
+	}
+	d.node.Update(func(e *sycapb.MemberEntry) { e.Down = d.down.Load() })
+	d.routesChanged()
+}
+
 func (d *Daemon) firstContacts(ctx context.Context) []netip.AddrPort {
 	list := slices.Clone(d.cfg.Peers)
+	for _, r := range d.node.Rows() {
+		if r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD && len(list) < maxContacts {
+			list = append(list, r.Addr)
+		}
+	}
 	if d.platform == nil {
 		return list
 	}
--- a/member/probe.go
+++ b/member/probe.go
@@ -181,13 +181,14 @@
 	}
 }
 
-// probeDead sends a packet with its own entry to one random dead member, so
-// that a healed partition is noticed and the member refutes.
+// probeDead sends a packet with its own entry to one random member that is
+// gone, so that a healed partition is noticed, the member refutes, and one
+// that started again at its old address finds the others.
 func (n *Node) probeDead() {
 	n.mu.Lock()
 	var dead []*Row
 	for _, r := range n.rows {
-		if r.Entry.State == sycapb.MemberState_MEMBER_STATE_DEAD {
+		if r.Entry.State >= sycapb.MemberState_MEMBER_STATE_DEAD {
 			dead = append(dead, r)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -56,7 +56,7 @@
 			{"timeout_max = 3s", "timeout_max = 3h", "timeout_max", 9},
 			{"timeout_max = 3s", "tmeout = 3s", "tmeout", 9},
 			{"[method payments.pay]", "[method payments]", "", 4},
-			{"[class dues]", "[clas dues]", "", 1},
+			{"[class dues]", "[klass dues]", "", 1},
 		} {
 			_, err := policy.Parse(strings.Replace(good, c.old, c.next, 1))
 			var bad *policy.LineError
