member: a restarted daemon asks those who probe it for the others

TestRollingRestartLosesNothing was flaky on a busy machine: a daemon that was restarted at its old address, without peers or platform, was probed by members whose packets do not carry their own entry, and knew nobody. It now keeps the addresses of unknown senders and joins through them.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -151,7 +151,7 @@
 }
 
 func (d *Daemon) firstContacts(ctx context.Context) []netip.AddrPort {
-	list := slices.Clone(d.cfg.Peers)
+	list := append(slices.Clone(d.cfg.Peers), d.node.Strangers()...)
 	for _, r := range d.node.Rows() {
 		if r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD && len(list) < maxContacts {
 			list = append(list, r.Addr)
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -5,6 +5,7 @@
 	"math/bits"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,6 +16,9 @@
 // sendsPerLog is the number of ticks for which news is sent, per doubling of the members.
 const sendsPerLog = 2
 
+// maxStrangers bounds the remembered senders that are not members.
+const maxStrangers = 5
+
 // sends returns for how many packets news is repeated among n members.
 func sends(n int) int {
 	return sendsPerLog * (bits.Len(uint(n)) + 1) * gossipFan / 2
@@ -183,7 +187,7 @@
 	n.in += uint64(size)
 	r, ok := n.rows[p.From]
 	if !ok {
-		// Tells an unknown sender of this daemon, so that they exchange entries.
+		n.noteStranger(p.FromAddr)
 		n.news.add(n.self.Id, sends(len(n.rows)))
 		return
 	}
@@ -192,3 +196,25 @@
 		n.news.add(p.From, sends(len(n.rows)))
 	}
 }
+
+// noteStranger keeps the address of a sender that is not a member here; n.mu
+// is held.
+func (n *Node) noteStranger(from string) {
+	addr, err := netip.ParseAddrPort(from)
+	if err != nil || slices.Contains(n.strangers, addr) {
+		return
+	}
+	n.strangers = append(n.strangers, addr)
+	if len(n.strangers) > maxStrangers {
+		n.strangers = n.strangers[1:]
+	}
+}
+
+// Strangers returns the addresses of the latest senders that were not members
+// here. A daemon that was restarted at its old address is probed by members
+// that it does not know yet, and can ask them for the others.
+func (n *Node) Strangers() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.strangers)
+}
--- a/member/member.go
+++ b/member/member.go
@@ -103,7 +103,9 @@
 	seq      uint64
 	acks     map[uint64]chan struct{}
 	in, out  uint64
-	relays   errgroup.Group
+	// strangers are senders that are not members.
+	strangers []netip.AddrPort
+	relays    errgroup.Group
 }
 
 type poisonNews struct {
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -169,7 +169,8 @@
 		return nil, &RefusedError{Problem: "belongs to another home or an earlier incarnation", Spent: true}
 	}
 	if !hmac.Equal(t.Mac, h.sign(t)) {
-		return nil, &RefusedError{Problem: "has a wrong signature"}
+		// It may stem from an earlier key of this home, so nothing is known of its run.
+		return nil, &RefusedError{Problem: "has a wrong signature", Spent: true}
 	}
 	if t.Service != service || t.Method != method {
 		return nil, &RefusedError{Problem: fmt.Sprintf("is for %s.%s", t.Service, t.Method)}
