--- a/admit/admit.go
+++ b/admit/admit.go
@@ -12,7 +12,7 @@
 // shed there, before any work is spent. See Control for how it moves.
 //
 //	g := admit.New(admit.Config{Slots: 60, Now: time.Now})
-//	pass, err := g.Enter(ctx, id, key, deadline)
+//	pass, err := g.Enter(ctx, admit.Call{ID: id, Key: key, Method: "get", Deadline: deadline})
 //	if err != nil {
 //		// *ShedError or *LateError: the call did not run
 //	}
@@ -67,7 +67,7 @@
 	minQueue = 8
 	// runWeight is the weight of one run in the mean run time.
 	runWeight = 0.05
-	// lateShare is the part of the mean run time that must remain before a deadline.
+	// lateShare is the part of the method's mean run time that must remain before a deadline.
 	lateShare = 0.7
 	// refusalCut is the factor on the limit at a refusal by the backend server.
 	refusalCut = 0.9
@@ -87,6 +87,17 @@
 	Now func() time.Time
 }
 
+// Call is one call that asks to run.
+type Call struct {
+	ID action.ID
+	// Key is the importance of the call.
+	Key action.Key
+	// Method tells which run time to expect.
+	Method string
+	// Deadline is when the answer must be there.
+	Deadline time.Time
+}
+
 // Gate admits calls to one backend server. It is safe for concurrent use.
 type Gate struct {
 	cfg Config
@@ -98,14 +109,16 @@
 	queue    queue
 	seq      uint64
 	admitted [action.MaxRank + 1]uint64
+	// meanRun is the mean over all calls, methods by method.
 	meanRun  time.Duration
+	methods  map[string]time.Duration
 	refusals time.Time
 	control  control
 }
 
 // New returns a Gate for a cold backend server.
 func New(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, started: cfg.Now(), cap: float64(cfg.Slots)}
+	g := &Gate{cfg: cfg, started: cfg.Now(), cap: float64(cfg.Slots), methods: map[string]time.Duration{}}
 	g.control.level = action.Open
 	return g
 }
@@ -133,6 +146,7 @@
 // Pass is the right to run one call. Leave must be called exactly once.
 type Pass struct {
 	g       *Gate
+	method  string
 	started time.Time
 	waited  time.Duration
 }
@@ -144,11 +158,11 @@
 
 // Enter waits until the call may run. It returns a *ShedError, a *LateError
 // or the error of ctx when the call must not run.
-func (g *Gate) Enter(ctx context.Context, id action.ID, key action.Key, deadline time.Time) (*Pass, error) {
+func (g *Gate) Enter(ctx context.Context, c Call) (*Pass, error) {
 	if g.cfg.Mode == None {
-		return g.admitNow(), nil
+		return g.admitNow(c), nil
 	}
-	w, err := g.arrive(id, key, deadline)
+	w, err := g.arrive(c)
 	if err != nil {
 		return nil, err
 	}
@@ -168,11 +182,11 @@
 	return nil, ctx.Err()
 }
 
-func (g *Gate) admitNow() *Pass {
+func (g *Gate) admitNow(c Call) *Pass {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inflight++
-	return &Pass{g: g, started: g.cfg.Now()}
+	return &Pass{g: g, method: c.Method, started: g.cfg.Now()}
 }
 
 func (g *Gate) settle(w *waiter, err error) (*Pass, error) {
@@ -180,21 +194,21 @@
 		return nil, err
 	}
 	now := g.cfg.Now()
-	return &Pass{g: g, started: now, waited: now.Sub(w.arrived)}, nil
+	return &Pass{g: g, method: w.Method, started: now, waited: now.Sub(w.arrived)}, nil
 }
 
-func (g *Gate) arrive(id action.ID, key action.Key, deadline time.Time) (*waiter, error) {
+func (g *Gate) arrive(c Call) (*waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Now()
 	g.seq++
-	w := &waiter{id: id, key: key, seq: g.seq, arrived: now, deadline: deadline, verdict: make(chan error, 1)}
+	w := &waiter{Call: c, seq: g.seq, arrived: now, verdict: make(chan error, 1)}
 	if g.cfg.Mode == Static {
 		w.order = action.Key(0)
 	} else {
-		w.order = key
+		w.order = c.Key
 	}
-	g.control.arrived(key)
+	g.control.arrived(c.Key)
 	if late := g.late(w, now); late != nil {
 		return nil, late
 	}
@@ -208,8 +222,8 @@
 
 // late returns an error when w cannot finish before its deadline.
 func (g *Gate) late(w *waiter, now time.Time) error {
-	remaining := w.deadline.Sub(now)
-	need := time.Duration(lateShare * float64(g.meanRun))
+	remaining := w.Deadline.Sub(now)
+	need := time.Duration(lateShare * float64(g.methods[w.Method]))
 	if g.cfg.Mode == Static {
 		need = 0
 	}
@@ -225,18 +239,18 @@
 		g.checkOrder(w)
 	}
 	g.control.evicted++
-	w.verdict <- &ShedError{Key: w.key}
+	w.verdict <- &ShedError{Key: w.Key}
 }
 
 // checkOrder asserts that no call of a less important class waits or was
 // admitted after w arrived.
 func (g *Gate) checkOrder(w *waiter) {
-	rank := w.key.Rank()
+	rank := w.Key.Rank()
 	for _, o := range g.queue.items {
-		invar.Check(o.key.Rank() <= rank, "order", w.id, "shed at rank %d while rank %d waits", rank, o.key.Rank())
+		invar.Check(o.Key.Rank() <= rank, "order", w.ID, "shed at rank %d while rank %d waits", rank, o.Key.Rank())
 	}
 	for r := rank + 1; r <= action.MaxRank; r++ {
-		invar.Check(g.admitted[r] < w.seq, "order", w.id, "shed at rank %d, rank %d was admitted after it arrived", rank, r)
+		invar.Check(g.admitted[r] < w.seq, "order", w.ID, "shed at rank %d, rank %d was admitted after it arrived", rank, r)
 	}
 }
 
@@ -249,7 +263,7 @@
 			continue
 		}
 		g.seq++
-		g.admitted[w.key.Rank()] = g.seq
+		g.admitted[w.Key.Rank()] = g.seq
 		g.inflight++
 		w.verdict <- nil
 	}
@@ -269,12 +283,12 @@
 	now := g.cfg.Now()
 	g.inflight--
 	invar.Check(g.inflight >= 0, "inflight", action.ID{}, "%d runs in flight", g.inflight)
-	g.learn(v, now, now.Sub(p.started))
+	g.learn(v, p.method, now, now.Sub(p.started))
 	g.pump(now)
 }
 
 // learn adapts the limit and the mean run time to one ended run.
-func (g *Gate) learn(v Verdict, now time.Time, d time.Duration) {
+func (g *Gate) learn(v Verdict, method string, now time.Time, d time.Duration) {
 	slots := float64(g.cfg.Slots)
 	switch v {
 	case Refused:
@@ -283,16 +297,21 @@
 			g.refusals = now
 		}
 	case Ran:
-		g.control.completed++
 		g.cap = min(slots, g.cap+1/g.cap)
-		if g.meanRun == 0 {
-			g.meanRun = d
-		}
-		g.meanRun += time.Duration(runWeight * float64(d-g.meanRun))
+		g.meanRun = mean(g.meanRun, d)
+		g.methods[method] = mean(g.methods[method], d)
 	case Lost:
 	}
 }
 
+// mean moves a mean run time by one run; 0 means that there was none.
+func mean(old, d time.Duration) time.Duration {
+	if old == 0 {
+		return d
+	}
+	return old + time.Duration(runWeight*float64(d-old))
+}
+
 // limit returns the runs in flight that are allowed now.
 func (g *Gate) limit(now time.Time) int {
 	ramp := 1.0
@@ -324,6 +343,7 @@
 	defer g.mu.Unlock()
 	g.started = g.cfg.Now()
 	g.meanRun = 0
+	g.methods = map[string]time.Duration{}
 	g.cap = float64(g.cfg.Slots)
 }
 
--- a/admit/control.go
+++ b/admit/control.go
@@ -30,11 +30,10 @@
 // here and is forgotten within a second or two, so the level opens soon after
 // the demand is gone.
 type control struct {
-	level     action.Level
-	seen      [numBuckets]uint32
-	demand    [numBuckets]float64
-	evicted   int
-	completed int
+	level   action.Level
+	seen    [numBuckets]uint32
+	demand  [numBuckets]float64
+	evicted int
 }
 
 func bucketOf(k action.Key) int {
@@ -72,7 +71,7 @@
 	next := 0
 	for i, d := range c.demand {
 		sum += d
-		for next < q.len() && bucketOf(q.items[next].key) <= i {
+		for next < q.len() && bucketOf(q.items[next].Key) <= i {
 			backlog++
 			next++
 		}
@@ -118,7 +117,6 @@
 		c.level = c.raise(capacity * (raiseShare + idle*raiseShare))
 	}
 	c.evicted = 0
-	c.completed = 0
 }
 
 // flush sheds the waiting calls of classes below the class of the level.
@@ -126,7 +124,7 @@
 	rank := action.Key(g.control.level).Rank()
 	for g.queue.len() > 0 {
 		w := g.queue.popWorst()
-		if w.key.Rank() <= rank {
+		if w.Key.Rank() <= rank {
 			g.queue.push(w)
 			return
 		}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -10,13 +10,11 @@
 
 // waiter is one call in the queue. The verdict is nil when the call may run.
 type waiter struct {
-	id       action.ID
-	key      action.Key
-	order    action.Key
-	seq      uint64
-	arrived  time.Time
-	deadline time.Time
-	verdict  chan error
+	Call
+	order   action.Key
+	seq     uint64
+	arrived time.Time
+	verdict chan error
 }
 
 // queue holds waiters by order, the most important first, then by arrival.
--- a/bench/memory.go
+++ b/bench/memory.go
@@ -85,6 +85,7 @@
 		}
 		return actions
 	})/manyItems)
+	envelopeSlope(w)
 	report := burn.New(time.Now)
 	fmt.Fprintf(w, "memory per method in the burn report\t%.0f\tbytes\n", grown(func() any {
 		for i := range 100 {
@@ -95,6 +96,21 @@
 	return w.Flush()
 }
 
+// envelopeSlope prints what a hop adds to the bodies.
+func envelopeSlope(w *tabwriter.Writer) {
+	id := action.NewID()
+	c := &sycapb.Call{
+		ActionId: id[:], AttemptId: 1 << 60, Service: "service07", Method: "method", Digest: 1 << 60,
+		TimeoutUs: time.Second.Microseconds(), Allowance: 12, Rank: 2, Depth: 8, Path: 1 << 60,
+	}
+	r := action.Refusal(c, sycapb.Outcome_OUTCOME_DONE, 0, "")
+	r.Load = &sycapb.Load{Inflight: 20, Queued: 3, Limit: 60}
+	r.Level = action.Open.Proto()
+	r.Server = "service07-0123"
+	fmt.Fprintf(w, "call beside its body, a hop\t%d\tbytes\n", proto.Size(c))
+	fmt.Fprintf(w, "reply beside its body, a hop\t%d\tbytes\n", proto.Size(r))
+}
+
 func fullEntry(i int) *sycapb.MemberEntry {
 	zone := i % fullZones
 	addr := netip.AddrFrom4([4]byte{10, byte(zone), byte(i >> 8), byte(i)})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -151,7 +151,7 @@
 		return
 	}
 	h := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	d.platform = store.New(h, "http://"+d.cfg.Platform.String())
+	d.platform = store.New(h, d.cfg.Platform)
 	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now, Sleep: sleep}
 }
 
@@ -200,6 +200,10 @@
 	})
 	d.log.WithFields(logrus.Fields{"addr": d.cfg.Addr, "http": d.cfg.HTTP, "service": d.cfg.Service}).Info("started")
 	err := g.Wait()
+	d.backend.Close()
+	if closeErr := d.peers.Close(); err == nil {
+		err = closeErr
+	}
 	d.log.WithField("err", err).Info("stopped")
 	return err
 }
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -176,10 +176,11 @@
 		return refusal
 	}
 	defer release()
-	pass, err := d.gate.Enter(ctx, a.id, a.key, a.deadline)
+	pass, err := d.gate.Enter(ctx, admit.Call{ID: a.id, Key: a.key, Method: a.call.Method, Deadline: a.deadline})
 	if err != nil {
 		return d.notAdmitted(a.call, err)
 	}
+	d.stats.Waited(pass.Waited())
 	if a.run != nil {
 		a.run.Spend()
 	}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -32,7 +32,7 @@
 	// maxContacts bounds the members asked in one try, beside the seeds.
 	maxContacts = 5
 	// routeGap is the least time between two rebuilds of the route table.
-	routeGap = 20 * time.Millisecond
+	routeGap = 200 * time.Millisecond
 
 	seedPrefix = "seed/"
 )
@@ -148,6 +148,7 @@
 	if d.joined.Swap(true) {
 		return
 	}
+	d.table.Update(d.targets())
 	d.node.Update(func(e *sycapb.MemberEntry) { e.Down = d.down.Load() })
 	d.routesChanged()
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -18,8 +18,11 @@
 const (
 	// defaultForceWait is how long an accept waits for the zones.
 	defaultForceWait = 3 * time.Second
-	// forcePoll is how often it asks the members.
-	forcePoll = 100 * time.Millisecond
+	// forceCheck is how often it looks at what the members said.
+	forceCheck = 20 * time.Millisecond
+	// forcePoll is how often it asks the members, for every pollMembers of them.
+	forcePoll   = 100 * time.Millisecond
+	pollMembers = 200
 	// burnWait bounds the question to one member for its burn counts.
 	burnWait = time.Second
 	// burnFan bounds the members asked at once.
@@ -143,13 +146,18 @@
 func (d *Daemon) awaitForce(ctx context.Context, rev uint64, wait time.Duration) []*sycapb.ZoneForce {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	every := forcePoll * time.Duration(1+len(d.node.Rows())/pollMembers)
+	polled := time.Now()
 	for {
 		zones, all := d.force(rev)
 		if all || ctx.Err() != nil {
 			return zones
 		}
-		d.node.Poll(rev)
-		sleep(ctx, forcePoll)
+		if time.Since(polled) >= every {
+			d.node.Poll(rev)
+			polled = time.Now()
+		}
+		sleep(ctx, forceCheck)
 	}
 }
 
--- a/policy/holder.go
+++ b/policy/holder.go
@@ -10,14 +10,13 @@
 // Holder keeps the policy in force in one daemon. It is safe for concurrent
 // use.
 type Holder struct {
-	mu      sync.RWMutex
-	policy  *Policy
-	changed chan struct{}
+	mu     sync.RWMutex
+	policy *Policy
 }
 
 // NewHolder returns a holder with the policy of the settings, or nil for none.
 func NewHolder(p *Policy) *Holder {
-	return &Holder{policy: p, changed: make(chan struct{})}
+	return &Holder{policy: p}
 }
 
 // Policy returns the policy in force, nil when there is none yet.
@@ -52,14 +51,5 @@
 	before := h.revision()
 	h.policy = p
 	invar.Check(h.revision() > before || before == 0, "revision", action.ID{}, "revision %d after %d", p.Revision, before)
-	close(h.changed)
-	h.changed = make(chan struct{})
 	return true
 }
-
-// Changed returns a channel that is closed at the next change.
-func (h *Holder) Changed() <-chan struct{} {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.changed
-}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -113,11 +113,6 @@
 	return Method{}, &UnknownError{Field: "method", Name: method}
 }
 
-// Methods returns how many methods the policy names.
-func (p *Policy) Methods() int {
-	return len(p.methods)
-}
-
 // Parse checks a policy text. A fault is a *LineError.
 func Parse(text string) (*Policy, error) {
 	opts := ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, SkipUnrecognizableLines: false}
--- a/route/route.go
+++ b/route/route.go
@@ -175,24 +175,6 @@
 	return kept
 }
 
-// Find returns the target with the given ID.
-func (t *Table) Find(id string) (Target, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.byID[id]
-	if !ok {
-		return Target{}, false
-	}
-	return s.target, true
-}
-
-// Services returns the number of known services.
-func (t *Table) Services() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.services)
-}
-
 // Pick chooses a target. It returns a *NoServerError or a *ShedError when
 // there is none.
 func (t *Table) Pick(req Request) (*Try, error) {
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -58,6 +58,11 @@
 	s.time("ingress.us", d)
 }
 
+// Waited records how long a call was queued before it ran.
+func (s *Set) Waited(d time.Duration) {
+	s.time("gate.wait_us", d)
+}
+
 // Attempt records one attempt that was sent.
 func (s *Set) Attempt() {
 	s.count("egress.attempts")
--- a/store/store.go
+++ b/store/store.go
@@ -6,7 +6,7 @@
 // write may have taken effect, so that the caller reads back before it does
 // anything else.
 //
-//	c := store.New(httpClient, "http://127.0.0.1:7000")
+//	c := store.New(httpClient, netip.MustParseAddrPort("127.0.0.1:7000"))
 //	item, err := c.Get(ctx, "policy/head")
 //	put, err := c.Put(ctx, "policy/head", value, item.Version, 0)
 //	if !put.Swapped {
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -57,9 +58,9 @@
 	reads, writes, watches atomic.Int64
 }
 
-// New returns a client for the platform at a base URL.
-func New(h *http.Client, url string) *Client {
-	return &Client{rpc: sycapb.NewStoreClient(h, url)}
+// New returns a client for the platform at addr.
+func New(h *http.Client, addr netip.AddrPort) *Client {
+	return &Client{rpc: sycapb.NewStoreClient(h, "http://"+addr.String())}
 }
 
 // Counts returns the calls made so far.
