--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -125,6 +125,12 @@
 		run.Void(r)
 		return r
 	}
+	if err := ctx.Err(); err != nil {
+		// The caller left before the run, as after a pause of this daemon.
+		r := d.notAdmitted(a.call, err)
+		run.Void(r)
+		return r
+	}
 	a.run = run
 	// The reply is kept for resends, so the run goes on when this caller leaves.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.deadline)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -131,7 +131,7 @@
 	start := time.Now()
 	joined := false
 	for {
-		if !joined || len(d.node.Rows()) == 0 {
+		if !joined || d.node.Len() == 0 {
 			joined = d.node.Join(ctx, d.firstContacts(ctx))
 		}
 		if joined || time.Since(start) > joinGrace {
@@ -182,14 +182,10 @@
 
 // rank returns this daemon's place among the live ones of its zone, by ID.
 func (d *Daemon) rank() int {
-	rank := 0
-	for _, r := range d.node.Rows() {
-		e := r.Entry
-		if e.Zone == d.cfg.Zone && e.Region == d.cfg.Region && e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !e.Leaving && e.Id < d.cfg.ID {
-			rank++
-		}
-	}
-	return rank
+	return d.node.Count(func(e *sycapb.MemberEntry) bool {
+		alive := e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !e.Leaving
+		return alive && e.Zone == d.cfg.Zone && e.Region == d.cfg.Region && e.Id < d.cfg.ID
+	})
 }
 
 // seedLoop keeps a seed record in the platform while this daemon is among the
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -146,7 +146,7 @@
 func (d *Daemon) awaitForce(ctx context.Context, rev uint64, wait time.Duration) []*sycapb.ZoneForce {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	every := forcePoll * time.Duration(1+len(d.node.Rows())/pollMembers)
+	every := forcePoll * time.Duration(1+d.node.Len()/pollMembers)
 	polled := time.Now()
 	for {
 		zones, all := d.force(rev)
@@ -328,7 +328,7 @@
 		"gate.queued":      float64(s.Queued),
 		"gate.limit":       float64(s.Limit),
 		"gate.level":       float64(d.gate.Level()),
-		"members":          float64(len(d.node.Rows()) + 1),
+		"members":          float64(d.node.Len() + 1),
 		"member.bytes_in":  float64(in),
 		"member.bytes_out": float64(out),
 		"policy.revision":  float64(d.holder.Revision()),
--- a/member/member.go
+++ b/member/member.go
@@ -164,6 +164,27 @@
 	return rows
 }
 
+// Count returns how many other members, also dead ones, f holds for. It copies
+// nothing; f must not keep or change the entry.
+func (n *Node) Count(f func(*sycapb.MemberEntry) bool) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, r := range n.rows {
+		if f(r.Entry) {
+			count++
+		}
+	}
+	return count
+}
+
+// Len returns the number of other members, also dead ones.
+func (n *Node) Len() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.rows)
+}
+
 // Traffic returns the bytes received and sent since the start.
 func (n *Node) Traffic() (in, out uint64) {
 	n.mu.Lock()
