member: news is bounded and the least sent goes first

Cause: news of a lost zone or of a fleet that starts took 39 KB/s for up to four minutes, and was sent in map order, so that some entries went out many times before others went once. Now a burst of 256 KB, then 2.5 KB/s beside what probes carry, ordered by how often an item was sent.

--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/action"
@@ -16,6 +17,8 @@
 	maxKeyLen = 128
 	// claimKeep is how long the platform remembers a claim at least.
 	claimKeep = 10 * time.Minute
+	// fleetClaims bounds the claims per second of all daemons together.
+	fleetClaims = 300.0
 	// claimLeaseUse is how long one lease is used for new claims.
 	claimLeaseUse = time.Minute
 )
@@ -81,8 +84,8 @@
 	refuse := func(why sycapb.Reason, err error) (*claim, *sycapb.Reply) {
 		return nil, action.Refusal(o.call, sycapb.Outcome_OUTCOME_NOTRUN, why, err.Error())
 	}
-	if !d.claims.Allow() {
-		return refuse(sycapb.Reason_REASON_SHED, errors.Errorf("this entry writes at most %g claims a second; open a ticket instead", d.cfg.ClaimRate))
+	if most := d.claimRate(); !d.claims.Allow() {
+		return refuse(sycapb.Reason_REASON_SHED, errors.Errorf("this entry writes at most %.2g claims a second; open a ticket instead", most))
 	}
 	lease, err := d.claimLease(ctx)
 	if err != nil {
@@ -108,6 +111,15 @@
 	return &claim{name: name, version: item.Version, ticket: stored.Ticket, own: own}, nil
 }
 
+// claimRate sets and returns this daemon's share of the claims per second that
+// the platform takes from the whole fleet, at most the one of the settings.
+func (d *Daemon) claimRate() float64 {
+	most := min(d.cfg.ClaimRate, fleetClaims/float64(d.node.Len()+1))
+	d.claims.SetLimit(rate.Limit(most))
+	d.claims.SetBurst(max(1, int(most)))
+	return most
+}
+
 // settleClaim writes a claim and returns what stands there afterwards. When
 // the answer is lost it reads back before anything else.
 func (d *Daemon) settleClaim(ctx context.Context, name string, value []byte, base, lease uint64) (*sycapb.Item, error) {
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -220,6 +222,9 @@
 	for _, r := range members {
 		rows = append(rows, &sycapb.MemberRow{Entry: r.Entry, Cut: !live[r.Entry.Zone], PolicyRevision: r.Revision})
 	}
+	slices.SortFunc(rows, func(a, b *sycapb.MemberRow) int {
+		return cmp.Or(cmp.Compare(a.Entry.Zone, b.Entry.Zone), cmp.Compare(a.Entry.Id, b.Entry.Id))
+	})
 	return connect.NewResponse(&sycapb.MembersReply{Members: rows}), nil
 }
 
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/bits"
 	"math/rand/v2"
 	"net/netip"
@@ -24,22 +26,38 @@
 	return sendsPerLog * (bits.Len(uint(n)) + 1) * gossipFan / 2
 }
 
-// news counts how often each changed entry is still to be sent.
+// news holds the changed entries by ID.
 type news struct {
-	left map[string]int
+	items map[string]*item
+}
+
+// item counts how often a changed entry was sent and is still to be sent.
+type item struct {
+	sent, left int
+	// salt orders items that were sent equally often, differently at each node.
+	salt uint64
 }
 
 func (w *news) add(id string, n int) {
-	w.left[id] = n
+	w.items[id] = &item{left: n, salt: rand.Uint64()}
 }
 
 func (w *news) sent(id string) {
-	w.left[id]--
-	if w.left[id] <= 0 {
-		delete(w.left, id)
+	it := w.items[id]
+	it.sent++
+	it.left--
+	if it.left <= 0 {
+		delete(w.items, id)
 	}
 }
 
+// order returns the changed entries, those that were sent least first.
+func (w *news) order() []string {
+	return slices.SortedFunc(maps.Keys(w.items), func(a, b string) int {
+		return cmp.Or(cmp.Compare(w.items[a].sent, w.items[b].sent), cmp.Compare(w.items[a].salt, w.items[b].salt))
+	})
+}
+
 func (n *Node) gossipLoop(ctx context.Context) error {
 	t := time.NewTicker(gossipEvery)
 	defer t.Stop()
@@ -53,18 +71,23 @@
 	}
 }
 
-// spread sends the news, if there is any, to a few random members.
+// spread sends the news, if there is any, to a few random members. News above
+// newsRate waits for later ticks once newsBurst is used up.
 func (n *Node) spread() {
 	n.mu.Lock()
 	n.forget()
-	if len(n.news.left) == 0 && n.announce <= 0 && len(n.poisons) == 0 {
+	if len(n.news.items) == 0 && n.announce <= 0 && len(n.poisons) == 0 {
 		n.mu.Unlock()
 		return
 	}
 	to := n.pickLive(gossipFan, "")
 	n.mu.Unlock()
 	for _, addr := range to {
-		n.send(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP})
+		now := n.cfg.Now()
+		if n.limit.TokensAt(now) <= 0 {
+			return
+		}
+		n.limit.ReserveN(now, n.send(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP}))
 	}
 }
 
@@ -81,18 +104,20 @@
 	return live[:min(k, len(live))]
 }
 
-// send fills a packet with news up to maxPacket and sends it.
-func (n *Node) send(to netip.AddrPort, p *sycapb.Packet) {
+// send fills a packet with news up to maxPacket and sends it. It returns the
+// bytes sent.
+func (n *Node) send(to netip.AddrPort, p *sycapb.Packet) int {
 	n.mu.Lock()
 	n.fill(p)
 	b, err := proto.Marshal(p)
 	n.out += uint64(len(b))
 	n.mu.Unlock()
 	if err != nil {
-		return
+		return 0
 	}
 	// A lost packet is made up for by later ones.
 	_ = n.conn.Write(b, to)
+	return len(b)
 }
 
 // fill adds the sender, the revision and news; n.mu is held.
@@ -104,10 +129,10 @@
 		n.announce--
 	}
 	size := proto.Size(p)
-	for id := range n.news.left {
+	for _, id := range n.news.order() {
 		e := n.entry(id)
 		if e == nil {
-			delete(n.news.left, id)
+			delete(n.news.items, id)
 			continue
 		}
 		size += proto.Size(e) + 4
--- a/member/member.go
+++ b/member/member.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/sycapb"
@@ -44,6 +45,10 @@
 	leftKeep = time.Minute
 	// maxPacket is the largest UDP payload sent, in bytes.
 	maxPacket = 1300
+	// newsRate bounds the news sent on gossip ticks in the long run, in bytes per second; probes and their answers carry up to as much again.
+	newsRate = 2500
+	// newsBurst is what may be sent at once beyond it, in bytes; it lets a lost zone through.
+	newsBurst = 256 << 10
 )
 
 // Config holds what a Node needs.
@@ -105,7 +110,9 @@
 	in, out  uint64
 	// strangers are senders that are not members.
 	strangers []netip.AddrPort
-	relays    errgroup.Group
+	// limit counts the bytes of gossip ticks.
+	limit  *rate.Limiter
+	relays errgroup.Group
 }
 
 type poisonNews struct {
@@ -123,7 +130,8 @@
 		byAddr:  map[string]string{},
 		poisons: map[uint64]*poisonNews{},
 		acks:    map[uint64]chan struct{}{},
-		news:    news{left: map[string]int{}},
+		news:    news{items: map[string]*item{}},
+		limit:   rate.NewLimiter(newsRate, newsBurst),
 	}
 	n.news.add(n.self.Id, sends(1))
 	return n
--- /dev/null
+++ b/member/news_test.go
@@ -0,0 +1,85 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"sycamorespread.dev/member"
+	"sycamorespread.dev/sycapb"
+)
+
+// A zone's worth of news must not flood: the bytes stay within a burst and a
+// rate, and every entry is sent once before any is sent for the third time.
+func TestNewsIsBoundedAndFair(t *testing.T) {
+	t.Parallel()
+	const (
+		entries = 600
+		span    = 10 * time.Second
+		burst   = 256 << 10
+		rate    = 8_000
+	)
+	var mu sync.Mutex
+	bytes := 0
+	sent := map[string]int{}
+	seen, unfair := 0, 0
+	off := make(chan struct{})
+	conn := member.Conn{
+		Read: func([]byte) (int, netip.AddrPort, error) {
+			<-off
+			return 0, netip.AddrPort{}, errClosed
+		},
+		Write: func(b []byte, _ netip.AddrPort) error {
+			p := new(sycapb.Packet)
+			if err := proto.Unmarshal(b, p); err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			bytes += len(b)
+			for _, e := range p.Entries {
+				if sent[e.Id]++; sent[e.Id] == 1 {
+					seen++
+				}
+				if sent[e.Id] > 2 && seen < entries {
+					unfair++
+				}
+			}
+			return nil
+		},
+		Close: func() error {
+			close(off)
+			return nil
+		},
+	}
+	n := member.New(member.Config{
+		Self:     &sycapb.MemberEntry{Id: "self", Incarnation: 1, Addr: "10.0.0.1:7"},
+		Probe:    time.Hour,
+		Now:      time.Now,
+		Revision: func() uint64 { return 0 },
+	}, conn)
+	list := make([]*sycapb.MemberEntry, 0, entries)
+	for i := range entries {
+		list = append(list, &sycapb.MemberEntry{Id: fmt.Sprintf("service-%04d", i), Incarnation: 1, Zone: "zone-a", Service: "service", Addr: fmt.Sprintf("10.1.%d.%d:7", i/250, i%250+1)})
+	}
+	n.Merge(list)
+	ctx, stop := context.WithTimeout(context.Background(), span)
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error { return n.Run(ctx) })
+	_ = g.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	if most := burst + int(span.Seconds()*rate); bytes > most {
+		t.Errorf("%d bytes of news in %s, at most %d are allowed", bytes, span, most)
+	}
+	if seen < entries || unfair > 0 {
+		t.Errorf("%d of %d entries were sent, %d sends came before their turn", seen, entries, unfair)
+	}
+}
