--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -31,6 +31,9 @@
 	storePort = 17000
 	relayPort = 17001
 
+	// coldStart is how long a backend server stand-in is cold.
+	coldStart = 500 * time.Millisecond
+
 	startWait = 15 * time.Second
 	stopWait  = 40 * time.Second
 	pollEvery = 50 * time.Millisecond
@@ -178,8 +181,8 @@
 		return nil
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[server]\nservice = %s\naddr = %s\ndaemon = %s\nslots = %d\nledger = %s\n[methods]\n",
-		i.service, i.backend(), i.http(), i.slots, c.ledger(i))
+	fmt.Fprintf(&b, "[server]\nservice = %s\naddr = %s\ndaemon = %s\nslots = %d\ncold = %s\nledger = %s\n[methods]\n",
+		i.service, i.backend(), i.http(), i.slots, coldStart, c.ledger(i))
 	for _, s := range c.top.services {
 		if s.name == i.service {
 			for _, m := range s.methods {
@@ -215,7 +218,7 @@
 	}
 	fmt.Fprintf(&b, "[platform]\naddr = %s\n", storeAddr())
 	fmt.Fprintf(&b, "[server]\nservice = %s\naddr = %s\nslots = %d\nconnections = %d\n", i.service, c.serverOf(i), i.slots, i.conns)
-	fmt.Fprintf(&b, "[control]\nmode = %s\n", c.opt.mode)
+	fmt.Fprintf(&b, "warm_up = %s\n[control]\nmode = %s\n", coldStart, c.opt.mode)
 	return b.String()
 }
 
--- a/bench/demo.go
+++ b/bench/demo.go
@@ -121,8 +121,9 @@
 
 // showState prints what an operator sees of the deployment.
 func (c *cluster) showState() error {
-	for _, command := range []string{"members", "history", "burn"} {
-		out, err := c.sycctl(command)
+	plot := filepath.Join(c.opt.dir, "burn.png")
+	for _, words := range [][]string{{"members"}, {"history"}, {"burn", "--plot", plot}} {
+		out, err := c.sycctl(words...)
 		if err != nil {
 			return err
 		}
--- a/bench/prove.go
+++ b/bench/prove.go
@@ -35,6 +35,8 @@
 	crashesPerPoison = 2
 	// endShare is the share of whole actions in the quiet end.
 	endShare = 0.95
+	// restoreWait is how long the daemons have to see the restored platform.
+	restoreWait = 1500 * time.Millisecond
 	// watchRevision is how often the revisions of the daemons are read.
 	watchRevision = 500 * time.Millisecond
 	// crashCode is the exit code of a backend server that a poison request crashed.
@@ -265,7 +267,42 @@
 	if err := p.judgeViews(ctx); err != nil {
 		return err
 	}
-	return p.judgePolicy(ctx)
+	if err := p.judgePolicy(ctx); err != nil {
+		return err
+	}
+	return p.judgeRestored(ctx)
+}
+
+// judgeRestored brings the platform back with an old policy head, and checks
+// that no daemon follows it and that no change is accepted on top of it.
+func (p *prover) judgeRestored(ctx context.Context) error {
+	if _, err := p.c.install(ctx, p.c.top.policy+"; before the restore\n"); err != nil {
+		return err
+	}
+	before := p.c.revision(ctx, p.c.instances[0])
+	if _, err := p.c.faults(ctx, &sycapb.StoreFaults{RestoreOldestHead: true}); err != nil {
+		return err
+	}
+	wait(ctx, restoreWait)
+	for _, i := range p.c.instances {
+		if rev := p.c.revision(ctx, i); rev != before {
+			return &brokenError{invariant: "restored", detail: fmt.Sprintf("%s went from %d to %d", i.id, before, rev)}
+		}
+	}
+	if _, err := p.c.install(ctx, p.c.top.policy+"; after the restore\n"); err == nil {
+		return &brokenError{invariant: "restored", detail: "a change was accepted on the old head"}
+	}
+	return nil
+}
+
+// revision returns the policy revision in force at a daemon, 0 when it does
+// not answer.
+func (c *cluster) revision(ctx context.Context, i *instance) uint64 {
+	r, err := c.operator(i).Policy(ctx, connect.NewRequest(&sycapb.PolicyRequest{}))
+	if err != nil {
+		return 0
+	}
+	return r.Msg.Revision
 }
 
 // judgeViews checks that every daemon knows every other again.
--- a/stand/server.go
+++ b/stand/server.go
@@ -49,6 +49,9 @@
 	stale   atomic.Int64
 	drained atomic.Bool
 	ledger  *os.File
+	// cold is how long runs take longer after the start, at first twice as long.
+	cold    time.Duration
+	started time.Time
 }
 
 func serverCommand() *cobra.Command {
@@ -91,6 +94,8 @@
 	if err != nil {
 		return nil, "", errors.Wrap(err, "ledger of runs")
 	}
+	b.started = time.Now()
+	b.cold = s.Key("cold").MustDuration(0)
 	one := 1.0
 	b.slow.Store(&one)
 	for _, m := range f.Section("methods").Keys() {
@@ -142,7 +147,7 @@
 
 // work spends the run time, makes the deeper calls and answers.
 func (b *backend) work(ctx context.Context, m *sycapb.RunRequest, def method) (*connect.Response[sycapb.RunReply], error) {
-	t := time.NewTimer(time.Duration(float64(def.run) * *b.slow.Load()))
+	t := time.NewTimer(time.Duration(float64(def.run) * *b.slow.Load() * b.coldFactor()))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -163,6 +168,15 @@
 	return connect.NewResponse(&sycapb.RunReply{RunId: m.RunId, Body: body, Digest: action.Digest(body)}), nil
 }
 
+// coldFactor returns how much longer runs take while the server is cold.
+func (b *backend) coldFactor() float64 {
+	left := b.cold - time.Since(b.started)
+	if left <= 0 {
+		return 1
+	}
+	return 1 + float64(left)/float64(b.cold)
+}
+
 // call makes one deeper call; a problem tells why it is not whole.
 func (b *backend) call(ctx context.Context, m *sycapb.RunRequest, to string) (part []byte, problem string) {
 	service, name, _ := bytes.Cut([]byte(to), []byte("."))
