--- a/member/news_test.go
+++ b/member/news_test.go
@@ -63,6 +63,9 @@
 		Probe:    time.Hour,
 		Now:      time.Now,
 		Revision: func() uint64 { return 0 },
+		Exchange: func(context.Context, netip.AddrPort, *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
+			return nil, errClosed
+		},
 	}, conn)
 	list := make([]*sycapb.MemberEntry, 0, entries)
 	for i := range entries {
