daemon: assert leaving, graceful and notrun in the running daemon

leaving: no run of what arrived 3 s after the daemon began to leave; graceful: nothing is in flight when it ends, unless its longest wait is over; notrun: no refusal of a call of which a deeper call ran. They panic in test builds and are counted and logged in a daemon, like the others.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,10 +30,12 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"sycamorespread.dev/action"
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/burn"
 	"sycamorespread.dev/config"
+	"sycamorespread.dev/invar"
 	"sycamorespread.dev/member"
 	"sycamorespread.dev/peer"
 	"sycamorespread.dev/poison"
@@ -55,6 +57,8 @@
 	actionsKeep = time.Minute
 	// leaveMost bounds a graceful stop.
 	leaveMost = 60 * time.Second
+	// newWorkMost is how long after it began to leave a daemon may still get new work.
+	newWorkMost = 3 * time.Second
 	// leavePoll is how often a leaving daemon checks what is in flight.
 	leavePoll = 20 * time.Millisecond
 )
@@ -87,6 +91,7 @@
 
 	incarnation uint64
 	leaving     atomic.Bool
+	leavingAt   atomic.Int64
 	down        atomic.Bool
 	joined      atomic.Bool
 	inflight    atomic.Int64
@@ -219,6 +224,7 @@
 	err := web.Shutdown(ctx)
 	for d.inflight.Load() > 0 && sleep(ctx, leavePoll) {
 	}
+	invar.Check(d.runs.len() == 0 || ctx.Err() != nil, "graceful", action.ID{}, "%d runs in flight are cut off", d.runs.len())
 	d.node.Update(func(e *sycapb.MemberEntry) { e.State = sycapb.MemberState_MEMBER_STATE_LEFT })
 	d.log.WithField("inflight", d.inflight.Load()).Info("left")
 	return errors.Wrap(err, "stop serving callers")
@@ -229,10 +235,21 @@
 	if d.leaving.Swap(true) {
 		return
 	}
+	d.leavingAt.Store(time.Now().UnixNano())
 	d.log.WithField("inflight", d.inflight.Load()).Info("leaving")
 	d.node.Update(func(e *sycapb.MemberEntry) { e.Leaving = true })
 }
 
+// sinceLeaving returns how long before at the daemon began to leave, 0 when it
+// did not.
+func (d *Daemon) sinceLeaving(at time.Time) time.Duration {
+	began := d.leavingAt.Load()
+	if began == 0 {
+		return 0
+	}
+	return at.Sub(time.Unix(0, began))
+}
+
 // begin counts a call in flight until the returned function is called.
 func (d *Daemon) begin() func() {
 	d.inflight.Add(1)
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -10,6 +10,7 @@
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
+	"sycamorespread.dev/invar"
 	"sycamorespread.dev/poison"
 	"sycamorespread.dev/server"
 	"sycamorespread.dev/sycapb"
@@ -19,6 +20,7 @@
 // arrival is one attempt at the ingress.
 type arrival struct {
 	call     *sycapb.Call
+	arrived  time.Time
 	id       action.ID
 	key      action.Key
 	digest   uint64
@@ -56,6 +58,7 @@
 	digest := action.Digest(c.Body)
 	a := &arrival{
 		call:     c,
+		arrived:  now,
 		id:       id,
 		key:      action.KeyOf(c.Rank, id),
 		digest:   digest,
@@ -229,6 +232,8 @@
 func (d *Daemon) execute(ctx context.Context, a *arrival) (*sycapb.Reply, admit.Verdict) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	late := d.sinceLeaving(a.arrived)
+	invar.Check(late < newWorkMost, "leaving", a.id, "arrived %s after the daemon began to leave", late)
 	acc := allow.NewAccount(a.id, a.call.Allowance-1)
 	run := d.runs.add(ctx, a, acc)
 	answer, err := d.backend.Run(ctx, &sycapb.RunRequest{
@@ -248,6 +253,7 @@
 	r.Unspent = acc.Close()
 	r.Starved = run.starved.Load()
 	if r.Outcome == sycapb.Outcome_OUTCOME_NOTRUN {
+		invar.Check(!run.called.Load(), "notrun", a.id, "called not run after a deeper call ran")
 		r.Unspent = a.call.Allowance
 	}
 	return r, verdict
--- a/daemon/runs.go
+++ b/daemon/runs.go
@@ -66,6 +66,13 @@
 	delete(s.m, r.id)
 }
 
+// len returns how many calls are in progress.
+func (s *runs) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.m)
+}
+
 func (s *runs) find(id uint64) (*run, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
