--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,23 +116,29 @@
 
 // fleet is a small deployment in one process.
 type fleet struct {
-	t     *testing.T
-	g     errgroup.Group
-	nodes []*node
+	t      *testing.T
+	number int32
+	g      errgroup.Group
+	nodes  []*node
 }
 
-// freeAddr returns an address whose TCP and UDP ports were free just now.
-func freeAddr(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+const (
+	// peerPort and httpPort are below the ports that the system gives to connections.
+	peerPort = 17300
+	httpPort = 17301
+)
+
+// fleets counts the fleets of this process.
+var fleets atomic.Int32
+
+// ip returns the loopback address of the next node. Each process, fleet and
+// node has its own, so that no other socket can hold the ports.
+func (f *fleet) ip() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(f.number), byte(len(f.nodes) + 1)})
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t}
+	f := &fleet{t: t, number: fleets.Add(1)}
 	t.Cleanup(f.close)
 	return f
 }
@@ -140,7 +147,7 @@
 func (f *fleet) add(service string, slots int) *node {
 	f.t.Helper()
 	text := fmt.Sprintf("[daemon]\nid = %s-%d\nregion = r\nzone = z\naddr = %s\nhttp = %s\nleave_wait = 300ms\nprobe = 200ms\n",
-		service, len(f.nodes), freeAddr(f.t), freeAddr(f.t))
+		service, len(f.nodes), netip.AddrPortFrom(f.ip(), peerPort), netip.AddrPortFrom(f.ip(), httpPort))
 	if len(f.nodes) > 0 {
 		text += fmt.Sprintf("peers = %s\n", f.nodes[0].cfg.Addr)
 	}
@@ -149,8 +156,8 @@
 	text += fmt.Sprintf("[server]\nservice = %s\naddr = %s\nslots = %d\nconnections = 1000\n", service, b.listen, slots)
 	text += fmt.Sprintf("[policy]\nfile = %s/policy.ini\n", f.t.TempDir())
 	n := &node{backend: b, cfg: f.parse(text)}
-	f.nodes = append(f.nodes, n)
 	f.run(n)
+	f.nodes = append(f.nodes, n)
 	return n
 }
 
