daemon: each send of a ticket carries the allowance

Cause: concurrent sends of one ticket through one entry shared the account of the action; one without a run left could arrive first at the home and void the ticket. At most one send of a ticket runs, so runs stay within one allowance for a ticket.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -84,6 +84,14 @@
 	if !d.full() {
 		return d.prepare(c, m, id, time.Now().Add(timeout), allow.NewAccount(id, baselineAllowance)), nil
 	}
+	if !m.Repeatable && len(c.Ticket) > 0 {
+		// At most one send of a ticket runs, so each may carry the allowance.
+		given := m.Allowance
+		if c.Allowance > 0 {
+			given = min(given, c.Allowance)
+		}
+		return d.prepare(c, m, id, time.Now().Add(timeout), allow.NewAccount(id, given)), nil
+	}
 	whole := d.actions.Account(id, m.Allowance)
 	given := whole.Take(m.Allowance)
 	if c.Allowance > 0 && c.Allowance < given {
