--- a/admit/admit.go
+++ b/admit/admit.go
@@ -337,6 +337,15 @@
 	return max(minQueue, min(n, 4*g.cfg.Slots))
 }
 
+// Refit sets the slots of another backend server that stays cold for warmUp.
+func (g *Gate) Refit(slots int, warmUp time.Duration) {
+	g.mu.Lock()
+	g.cfg.Slots = slots
+	g.cfg.WarmUp = warmUp
+	g.mu.Unlock()
+	g.Restart()
+}
+
 // Restart makes the Gate treat its backend server as cold.
 func (g *Gate) Restart() {
 	g.mu.Lock()
--- a/config/config.go
+++ b/config/config.go
@@ -39,6 +39,9 @@
 	// Probe is the time between two membership probes.
 	Probe time.Duration
 
+	// Front holds the addresses of the HTTP interface; the zero value means none.
+	Front Front
+
 	// Platform is the key-value service; the zero value means none.
 	Platform netip.AddrPort
 
@@ -53,6 +56,9 @@
 	// WarmUp is the time over which a cold backend server ramps up.
 	WarmUp time.Duration
 
+	// Reads and Writes bound the calls per second of this daemon to the platform.
+	Reads, Writes float64
+
 	// PolicyFile is the policy of revision 0, used until another is learned.
 	PolicyFile string
 
@@ -66,6 +72,29 @@
 	ClaimRate float64
 }
 
+// Front holds where HTTP requests are taken.
+type Front struct {
+	// Outbound takes requests of callers and of the backend server.
+	Outbound netip.AddrPort
+	// Inbound takes requests of other daemons.
+	Inbound netip.AddrPort
+	// Ready answers whether callers should be sent here.
+	Ready netip.AddrPort
+	// Control takes what the backend server says of itself.
+	Control netip.AddrPort
+	// Metrics serves counters and histograms as text.
+	Metrics netip.AddrPort
+	// StopWait is how long a stopping daemon goes on taking requests at least.
+	StopWait time.Duration
+	// StopMost bounds a stop.
+	StopMost time.Duration
+}
+
+// Enabled reports whether there is an HTTP interface.
+func (f Front) Enabled() bool {
+	return f.Outbound.IsValid()
+}
+
 // Error reports a fault in the settings.
 type Error struct {
 	File, Section, Key string
@@ -117,10 +146,18 @@
 	c.LeaveWait = r.duration("daemon", "leave_wait", 3*time.Second, 0, time.Minute)
 	c.Platform = r.addr("platform", "addr", optional)
 	c.ClaimRate = float64(r.number("platform", "claim_rate", 20, 1, 1000))
+	c.Reads = float64(r.number("platform", "reads", 10, 1, 10_000))
+	c.Writes = float64(r.number("platform", "writes", 5, 1, 10_000))
+	c.readFront(r)
 	c.Service = r.text("server", "service", required)
 	c.Server = r.addr("server", "addr", required)
-	c.Slots = r.number("server", "slots", 0, 1, 10_000)
-	c.Connections = r.number("server", "connections", 0, 1, 100_000)
+	slots, connections := 0, 0
+	if c.Front.Enabled() {
+		// The backend server says itself how many it has.
+		slots, connections = 1, 100_000
+	}
+	c.Slots = r.number("server", "slots", slots, 1, 10_000)
+	c.Connections = r.number("server", "connections", connections, 1, 100_000)
 	c.WarmUp = r.duration("server", "warm_up", 0, 0, 10*time.Minute)
 	c.PolicyFile = r.text("policy", "file", optional)
 	c.Mode = r.mode("control", "mode")
@@ -130,6 +167,18 @@
 	}
 }
 
+// readFront reads the addresses of the HTTP interface; one of them needs all.
+func (c *Config) readFront(r *reader) {
+	c.Front.Outbound = r.addr("front", "outbound", optional)
+	need := need(c.Front.Enabled())
+	c.Front.Inbound = r.addr("front", "inbound", need)
+	c.Front.Ready = r.addr("front", "ready", need)
+	c.Front.Control = r.addr("front", "control", need)
+	c.Front.Metrics = r.addr("front", "metrics", optional)
+	c.Front.StopWait = r.duration("front", "stop_wait", 2500*time.Millisecond, 0, time.Minute)
+	c.Front.StopMost = r.duration("front", "stop_most", 5500*time.Millisecond, 0, 5*time.Minute)
+}
+
 type need bool
 
 const (
--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/action"
+	"sycamorespread.dev/store"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -108,7 +109,7 @@
 		return refuse(sycapb.Reason_REASON_PLATFORM, errors.Errorf("claim %q cannot be read", name))
 	}
 	own := string(stored.Ticket) == string(t.Ticket)
-	return &claim{name: name, version: item.Version, ticket: stored.Ticket, own: own}, nil
+	return &claim{name: name, version: item.Revision, ticket: stored.Ticket, own: own}, nil
 }
 
 // claimRate sets and returns this daemon's share of the claims per second that
@@ -122,21 +123,21 @@
 
 // settleClaim writes a claim and returns what stands there afterwards. When
 // the answer is lost it reads back before anything else.
-func (d *Daemon) settleClaim(ctx context.Context, name string, value []byte, base, lease uint64) (*sycapb.Item, error) {
+func (d *Daemon) settleClaim(ctx context.Context, name string, value []byte, base, lease uint64) (store.Item, error) {
 	put, err := d.platform.Put(ctx, name, value, base, lease)
 	if err == nil {
-		if put.Item.GetVersion() == 0 {
+		if put.Item.Revision == 0 {
 			d.dropLease(lease)
-			return nil, errors.New("the platform no longer knows the lease of the claim")
+			return store.Item{}, errors.New("the platform no longer knows the lease of the claim")
 		}
 		return put.Item, nil
 	}
 	item, readErr := d.platform.Get(ctx, name)
 	if readErr != nil {
-		return nil, err
+		return store.Item{}, err
 	}
-	if item.Version <= base {
-		return nil, err
+	if item.Revision <= base {
+		return store.Item{}, err
 	}
 	return item, nil
 }
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -175,7 +175,7 @@
 	f.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := daemon.New(n.cfg, logrus.NewEntry(log))
+	d, err := daemon.New(n.cfg, logrus.NewEntry(log), daemon.Links{})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,7 +35,10 @@
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/burn"
 	"sycamorespread.dev/config"
+	"sycamorespread.dev/front"
+	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/invar"
+	"sycamorespread.dev/life"
 	"sycamorespread.dev/member"
 	"sycamorespread.dev/peer"
 	"sycamorespread.dev/poison"
@@ -86,6 +89,12 @@
 	claims   *rate.Limiter
 	runs     *runs
 	deeps    *deeps
+	links    Links
+	front    *front.Front
+	fronts   []served
+	keeper   *life.Keeper
+	hops     *httpc.Pool
+	app      *httpc.Pool
 	crashes  crashes
 	suspects chan struct{}
 
@@ -104,12 +113,14 @@
 	lease       claimLease
 }
 
-// New opens the sockets and prepares a daemon.
-func New(cfg *config.Config, log *logrus.Entry) (*Daemon, error) {
+// New opens the sockets and prepares a daemon on the platform that links
+// names.
+func New(cfg *config.Config, log *logrus.Entry, links Links) (*Daemon, error) {
 	started := time.Now()
 	d := &Daemon{
 		cfg:         cfg,
 		log:         log,
+		links:       links,
 		incarnation: uint64(started.UnixMilli()),
 		gate:        admit.New(admit.Config{Slots: cfg.Slots, WarmUp: cfg.WarmUp, Mode: cfg.Mode, Now: time.Now}),
 		table:       route.New(cfg.ID, cfg.Zone, time.Now),
@@ -155,8 +166,7 @@
 	if !d.cfg.Platform.IsValid() {
 		return
 	}
-	h := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	d.platform = store.New(h, d.cfg.Platform)
+	d.platform = store.New(d.links.Transport(d.cfg.Platform), store.Rates{Reads: d.cfg.Reads, Writes: d.cfg.Writes})
 	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now, Sleep: sleep}
 }
 
@@ -173,6 +183,9 @@
 		return errors.Wrapf(err, "listen on tcp %s", d.cfg.HTTP)
 	}
 	d.node = member.New(d.memberConfig(), udpConn(udp))
+	if d.cfg.Front.Enabled() {
+		return d.openFront()
+	}
 	return nil
 }
 
@@ -188,7 +201,11 @@
 	g.Go(func() error { return serveWeb(web, d.http) })
 	g.Go(func() error { return d.tickLoop(inner) })
 	g.Go(func() error { return d.routeLoop(inner) })
-	g.Go(func() error { return d.healthLoop(inner) })
+	if d.front != nil {
+		d.runFront(inner, g)
+	} else {
+		g.Go(func() error { return d.healthLoop(inner) })
+	}
 	g.Go(func() error { return d.joinLoop(inner) })
 	g.Go(func() error { return d.seedLoop(inner) })
 	g.Go(func() error { return d.watchLoop(inner) })
@@ -215,6 +232,10 @@
 
 // leave announces the stop, waits until nothing is in flight and closes.
 func (d *Daemon) leave(web *http.Server) error {
+	if d.front != nil {
+		d.leaveFront()
+		return web.Close()
+	}
 	d.startLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveMost)
 	defer cancel()
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -25,8 +25,12 @@
 	seedTTL = 30 * time.Second
 	// seedEvery is the time between two renewals.
 	seedEvery = 10 * time.Second
+	// seedRetry is the pause after a renewal that failed.
+	seedRetry = time.Second
 	// joinEvery is the time between two tries to find a first member.
 	joinEvery = 200 * time.Millisecond
+	// lonelyEvery is that time once joinGrace is over.
+	lonelyEvery = time.Second
 	// joinGrace is how long a daemon that reaches nobody waits before it takes work.
 	joinGrace = 1500 * time.Millisecond
 	// maxContacts bounds the members asked in one try, beside the seeds.
@@ -49,6 +53,7 @@
 			Http:        d.cfg.HTTP.String(),
 			Slots:       uint32(d.cfg.Slots),
 			Down:        true,
+			Front:       d.frontAddr(),
 		},
 		Probe:    d.cfg.Probe,
 		Now:      time.Now,
@@ -60,6 +65,14 @@
 	}
 }
 
+// frontAddr returns where other daemons send HTTP requests, empty for nowhere.
+func (d *Daemon) frontAddr() string {
+	if !d.cfg.Front.Enabled() {
+		return ""
+	}
+	return d.cfg.Front.Inbound.String()
+}
+
 func (d *Daemon) exchange(ctx context.Context, addr netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
@@ -107,6 +120,13 @@
 		if e.State >= sycapb.MemberState_MEMBER_STATE_DEAD || e.Region != d.cfg.Region {
 			return
 		}
+		if d.front != nil {
+			at, err := netip.ParseAddrPort(e.Front)
+			if err != nil {
+				return
+			}
+			addr = at
+		}
 		list = append(list, route.Target{
 			ID:          e.Id,
 			Incarnation: e.Incarnation,
@@ -137,7 +157,11 @@
 		if joined || time.Since(start) > joinGrace {
 			d.setJoined()
 		}
-		if !sleep(ctx, joinEvery) {
+		pause := joinEvery
+		if time.Since(start) > joinGrace {
+			pause = lonelyEvery
+		}
+		if !sleep(ctx, pause) {
 			return nil
 		}
 	}
@@ -195,14 +219,16 @@
 		return nil
 	}
 	var lease uint64
-	for wait := time.Second; sleep(ctx, wait); wait = seedEvery {
+	for wait := time.Duration(0); sleep(ctx, wait); {
+		wait = seedEvery
 		if d.rank() >= seedsPerZone || d.leaving.Load() {
 			lease = 0
 			continue
 		}
 		next, err := d.keepSeed(ctx, lease)
 		if err != nil {
-			d.log.WithField("err", err).Debug("seed not kept")
+			d.log.WithField("err", err).Warn("seed not kept")
+			wait = seedRetry
 		}
 		lease = next
 	}
@@ -230,7 +256,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = d.platform.Put(ctx, key, b, old.Version, lease)
+	_, err = d.platform.Put(ctx, key, b, old.Revision, lease)
 	return lease, err
 }
 
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sycamorespread.dev/policy"
+	"sycamorespread.dev/store"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -74,7 +75,7 @@
 		d.log.WithFields(logrus.Fields{"peer": from.addr, "err": err}).Debug("policy not pulled")
 		return
 	}
-	p, err := policy.Accepted(r.Revision, r.ChangeId, r.Text)
+	p, err := d.decodePulled(r)
 	if err != nil {
 		d.log.WithFields(logrus.Fields{"peer": from.addr, "err": err}).Error("peer has a policy that fails its checks")
 		return
@@ -82,6 +83,22 @@
 	d.offer(p, from.addr.String())
 }
 
+// decodePulled reads the policy that a peer sent.
+func (d *Daemon) decodePulled(r *sycapb.PullReply) (*policy.Policy, error) {
+	if d.front != nil {
+		return d.links.DecodePolicy(r.Text)
+	}
+	return policy.Accepted(r.Revision, r.ChangeId, r.Text)
+}
+
+// policyKey returns the key whose value tells which policy is in force.
+func (d *Daemon) policyKey() string {
+	if d.front != nil {
+		return d.links.PolicyKey
+	}
+	return policy.HeadKey
+}
+
 // givePolicy answers a pull.
 func (d *Daemon) givePolicy(req *sycapb.PullRequest) *sycapb.PullReply {
 	p := d.holder.Policy()
@@ -100,7 +117,7 @@
 	for {
 		if d.rank() < watchersPerZone {
 			err := d.watchHead(ctx)
-			d.log.WithField("err", err).Debug("watch ended")
+			d.log.WithField("err", err).Info("watch ended")
 		} else if d.holder.Policy() == nil {
 			d.readHead(ctx)
 		}
@@ -115,7 +132,7 @@
 func (d *Daemon) watchHead(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return d.platform.Watch(ctx, policy.HeadKey, func(item *sycapb.Item) {
+	return d.platform.Watch(ctx, d.policyKey(), func(item store.Item) {
 		d.follow(ctx, item)
 		if d.rank() >= watchersPerZone {
 			cancel()
@@ -124,9 +141,9 @@
 }
 
 func (d *Daemon) readHead(ctx context.Context) {
-	item, err := d.platform.Get(ctx, policy.HeadKey)
+	item, err := d.platform.Get(ctx, d.policyKey())
 	if err != nil {
-		d.log.WithField("err", err).Debug("policy head not read")
+		d.log.WithField("err", err).Warn("policy not read")
 		return
 	}
 	d.follow(ctx, item)
@@ -134,7 +151,11 @@
 
 // follow takes the policy that a head names when it is newer. An older head
 // is reported, not followed.
-func (d *Daemon) follow(ctx context.Context, item *sycapb.Item) {
+func (d *Daemon) follow(ctx context.Context, item store.Item) {
+	if d.front != nil {
+		d.followOperator(item)
+		return
+	}
 	head, err := policy.ParseHead(item.Value)
 	if err != nil {
 		d.log.WithField("err", err).Error("policy head cannot be read")
@@ -161,3 +182,21 @@
 		}
 	}
 }
+
+// followOperator takes the policy that the operator keeps in the platform.
+func (d *Daemon) followOperator(item store.Item) {
+	if item.Revision == 0 {
+		return
+	}
+	p, err := d.links.DecodePolicy(string(item.Value))
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"stored": item.Revision, "err": err}).Error("policy of the operator cannot be read")
+		return
+	}
+	if have := d.holder.Revision(); p.Revision < have {
+		d.stats.OldHead()
+		d.log.WithFields(logrus.Fields{"stored": p.Revision, "in_force": have}).Error("the platform has an older policy than the one in force")
+		return
+	}
+	d.offer(p, "platform")
+}
--- /dev/null
+++ b/front/entry.go
@@ -0,0 +1,216 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorespread.dev/allow"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/route"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// offersMost bounds the instances to which one request is offered.
+	offersMost = 5
+	// retryLeast is the time that must be left for another send.
+	retryLeast = 30 * time.Millisecond
+	// afterNoPolicy is the pause that a caller is advised when no policy is known.
+	afterNoPolicy = 500 * time.Millisecond
+	// afterNoServer is the pause that a caller is advised when no instance can be reached.
+	afterNoServer = 300 * time.Millisecond
+	// afterShed is the pause that a caller is advised at an overload.
+	afterShed = 500 * time.Millisecond
+)
+
+// final is what the entry tells a caller in its own words.
+type final struct {
+	status int
+	why    string
+	// after is the advised pause, 0 for none.
+	after time.Duration
+}
+
+// entry takes a request of a caller or of the backend server.
+func (f *Front) entry(w http.ResponseWriter, hr *http.Request) {
+	defer f.begin()()
+	r, bad := f.accept(w, hr)
+	if bad != nil {
+		f.refuse(w, r, *bad)
+		return
+	}
+	f.deep.called(r.route.Name, r.service)
+	ans, fin := f.forward(hr.Context(), r)
+	if ans == nil {
+		f.refuse(w, r, fin)
+		return
+	}
+	r.log.status = ans.status
+	f.logEntry(r, "answered")
+	if f.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header()["Date"] = nil
+	ans.write(w)
+}
+
+// accept reads a request and finds its route.
+func (f *Front) accept(w http.ResponseWriter, hr *http.Request) (*request, *final) {
+	now := f.Now()
+	r := &request{id: hr.Header.Get(f.Headers.RequestID), method: hr.Method, target: targetOf(hr), host: hr.Host, arrived: now}
+	p := f.Policy()
+	if p == nil || p.Table == nil {
+		return r, &final{status: http.StatusServiceUnavailable, why: "nopolicy", after: afterNoPolicy}
+	}
+	r.revision = p.Revision
+	r.route = p.Table.Match(hr.Host, path(r.target))
+	if r.route == nil {
+		return r, &final{status: http.StatusNotFound, why: "noroute"}
+	}
+	if r.id == "" {
+		return r, &final{status: http.StatusBadRequest, why: "noid"}
+	}
+	if limit := p.Table.Limits.Body; limit > 0 {
+		if hr.ContentLength > limit {
+			return r, &final{status: http.StatusRequestEntityTooLarge, why: "body"}
+		}
+		hr.Body = http.MaxBytesReader(w, hr.Body, limit)
+	}
+	left := timeLeft(hr.Header.Get(f.Headers.TimeLeft), r.route.Timeout)
+	r.deadline = now.Add(min(left, r.route.Timeout))
+	return r, f.prepare(r, hr)
+}
+
+// prepare reads the body and sets what travels with the request.
+func (f *Front) prepare(r *request, hr *http.Request) *final {
+	var err error
+	r.length = hr.ContentLength
+	r.body, r.stream, err = readBody(hr.Body, hr.ContentLength)
+	if err != nil {
+		var big *http.MaxBytesError
+		if errors.As(err, &big) {
+			return &final{status: http.StatusRequestEntityTooLarge, why: "body"}
+		}
+		return &final{status: http.StatusBadRequest, why: "body"}
+	}
+	r.service = f.parts.choose(r.route)
+	r.origin = f.origin()
+	r.own = sameHost(hr.RemoteAddr, f.App)
+	r.key = keyOf(r.route.Rank, r.id)
+	r.header = forwardable(hr.Header)
+	r.print = fingerprint(r)
+	return nil
+}
+
+// forward offers a request to instances until it is answered or nothing is
+// left to try.
+func (f *Front) forward(ctx context.Context, r *request) (*answer, final) {
+	budget := f.Budgets.Of(r.service)
+	budget.Earn()
+	var avoid []string
+	sends := 0
+	last := refusal(whyNoServer)
+	for range offersMost {
+		if f.Book.State(r.print) == poison.Quarantined {
+			return nil, final{status: http.StatusServiceUnavailable, why: whyQuarantine}
+		}
+		try, err := f.Table.Pick(route.Request{Service: r.service, Method: r.route.Name, Key: r.key, Avoid: avoid, Invested: r.own})
+		if err != nil {
+			return nil, f.noTarget(r, err, sends, last)
+		}
+		last = f.send(ctx, r, try.Target)
+		f.report(try, last)
+		r.log.add(try.Target.ID, last)
+		if last.outcome == answered {
+			return last, final{}
+		}
+		last.done()
+		if last.outcome == unknown {
+			sends++
+		}
+		avoid = append(avoid, try.Target.ID)
+		if ctx.Err() != nil || !f.mayResend(r, last, budget, sends) {
+			break
+		}
+	}
+	return nil, f.giveUp(r, last, sends)
+}
+
+// report tells the table how a send ended.
+func (f *Front) report(try *route.Try, a *answer) {
+	switch a.why {
+	case whyDial, whyLost, whyDown, whyMoved, whyLeaving:
+		try.Fail(true)
+		return
+	case whyGone, whyTimeout:
+		try.Fail(false)
+		return
+	}
+	l := &sycapb.Load{Inflight: uint32(a.load.running), Queued: uint32(a.load.queued), Limit: uint32(a.load.limit)}
+	try.Done(route.Report{Load: l, Level: a.level})
+}
+
+// mayResend decides on another send after the answer a.
+func (f *Front) mayResend(r *request, a *answer, budget *allow.Budget, sends int) bool {
+	if r.stream != nil || r.deadline.Sub(f.Now()) < retryLeast {
+		return false
+	}
+	switch a.why {
+	case whyDial, whyDown, whyMoved, whyLeaving:
+		// The backend server saw nothing of it.
+		return sends == 0 || r.route.Repeatable
+	case whyShed:
+		return sends == 0
+	case whyRefused:
+		return budget.Spend()
+	case whyLost, whyCrash:
+		return r.route.Repeatable && sends < r.route.Attempts && budget.Spend()
+	}
+	return false
+}
+
+// noTarget says what to tell a caller whose request has no instance to go to.
+func (f *Front) noTarget(r *request, err error, sends int, last *answer) final {
+	if sends > 0 || last.why != whyNoServer {
+		return f.giveUp(r, last, sends)
+	}
+	var shed *route.ShedError
+	if errors.As(err, &shed) {
+		return final{status: http.StatusServiceUnavailable, why: whyShed, after: afterShed}
+	}
+	return final{status: http.StatusServiceUnavailable, why: whyNoServer, after: afterNoServer}
+}
+
+// giveUp says what to tell a caller after the last send.
+func (f *Front) giveUp(_ *request, last *answer, sends int) final {
+	switch {
+	case sends > 0 && last.why == whyTimeout:
+		return final{status: http.StatusGatewayTimeout, why: last.why}
+	case sends > 0:
+		return final{status: http.StatusBadGateway, why: last.why}
+	}
+	return final{status: http.StatusServiceUnavailable, why: last.why, after: afterShed}
+}
+
+// refuse answers a caller in the entry's own words.
+func (f *Front) refuse(w http.ResponseWriter, r *request, fin final) {
+	r.log.status = fin.status
+	f.logEntry(r, fin.why)
+	h := w.Header()
+	h["Date"] = nil
+	if r.id != "" {
+		h.Set(f.Headers.RequestID, r.id)
+	}
+	if fin.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(fin.after.Seconds(), 'f', 3, 64))
+	}
+	if f.Stopping() {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(fin.status)
+}
--- /dev/null
+++ b/front/hop.go
@@ -0,0 +1,247 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorespread.dev/action"
+	"sycamorespread.dev/httpc"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/route"
+)
+
+// Header fields between Fronts. A request carries the first group, an answer
+// the second.
+const (
+	hopService = hopPrefix + "Service"
+	hopRoute   = hopPrefix + "Route"
+	hopOrigin  = hopPrefix + "Origin"
+	hopKey     = hopPrefix + "Key"
+	hopPrint   = hopPrefix + "Print"
+	// hopLeft is the time left, hopTarget the time within which the answer has its value, in microseconds.
+	hopLeft   = hopPrefix + "Left"
+	hopRepeat = hopPrefix + "Repeat"
+
+	hopOutcome  = hopPrefix + "Outcome"
+	hopWhy      = hopPrefix + "Why"
+	hopLevel    = hopPrefix + "Level"
+	hopLoad     = hopPrefix + "Load"
+	hopTimes    = hopPrefix + "Times"
+	hopInstance = hopPrefix + "Instance"
+)
+
+const (
+	// hopGrace is how much longer than the deadline the entry waits for the ingress's word.
+	hopGrace = 150 * time.Millisecond
+	// freshUnrepeatable is how long a connection may have been idle that takes an unrepeatable request.
+	freshUnrepeatable = 2 * time.Second
+)
+
+// send carries a request to the Front beside the target, or to the own
+// backend server.
+func (f *Front) send(ctx context.Context, r *request, to route.Target) *answer {
+	if to.ID == f.Self {
+		return f.run(ctx, r)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(hopGrace))
+	defer cancel()
+	req := r.hop(f.Now())
+	resp, err := f.Peers.Do(ctx, to.Addr, req)
+	if err != nil {
+		return hopFailure(ctx, err)
+	}
+	return decodeHop(resp)
+}
+
+func hopFailure(ctx context.Context, err error) *answer {
+	var dial *httpc.DialError
+	switch {
+	case errors.As(err, &dial) && ctx.Err() == nil:
+		return refusal(whyDial)
+	case errors.As(err, &dial):
+		return refusal(whyGone)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return lost(whyTimeout)
+	case ctx.Err() != nil:
+		return lost(whyGone)
+	}
+	return lost(whyLost)
+}
+
+// hop returns the request as it goes to another Front.
+func (r *request) hop(now time.Time) *httpc.Request {
+	h := r.header.Clone()
+	h.Set(hopService, r.service)
+	h.Set(hopRoute, r.route.Name)
+	h.Set(hopOrigin, r.origin)
+	h.Set(hopKey, strconv.FormatUint(uint64(r.key), 10))
+	h.Set(hopPrint, strconv.FormatUint(uint64(r.print), 16))
+	h.Set(hopLeft, strconv.FormatInt(r.deadline.Sub(now).Microseconds(), 10))
+	req := &httpc.Request{
+		Method: r.method,
+		Target: r.target,
+		Host:   r.host,
+		Header: h,
+		Body:   r.body,
+		Stream: r.stream,
+		Length: r.length,
+		Buffer: answerBuffer,
+	}
+	if !r.route.Repeatable {
+		req.Fresh = freshUnrepeatable
+	} else {
+		h.Set(hopRepeat, "1")
+	}
+	return req
+}
+
+// HopError reports a header field between Fronts that cannot be read.
+type HopError struct {
+	Field, Value string
+}
+
+func (e *HopError) Error() string {
+	return fmt.Sprintf("field %s is %q", e.Field, e.Value)
+}
+
+// arrival is a request at the ingress.
+type arrival struct {
+	*request
+	routeName  string
+	repeatable bool
+}
+
+// decodeArrival reads a request of another Front.
+func decodeArrival(r *http.Request, headers Headers, now time.Time) (*arrival, error) {
+	number := func(field string, base int) (uint64, error) {
+		n, err := strconv.ParseUint(r.Header.Get(field), base, 64)
+		if err != nil {
+			return 0, &HopError{Field: field, Value: r.Header.Get(field)}
+		}
+		return n, nil
+	}
+	key, err := number(hopKey, 10)
+	if err != nil {
+		return nil, err
+	}
+	print, err := number(hopPrint, 16)
+	if err != nil {
+		return nil, err
+	}
+	left, err := number(hopLeft, 10)
+	if err != nil {
+		return nil, err
+	}
+	return &arrival{
+		routeName:  r.Header.Get(hopRoute),
+		repeatable: r.Header.Get(hopRepeat) != "",
+		request: &request{
+			id:       r.Header.Get(headers.RequestID),
+			method:   r.Method,
+			target:   targetOf(r),
+			host:     r.Host,
+			header:   forwardable(r.Header),
+			service:  r.Header.Get(hopService),
+			origin:   r.Header.Get(hopOrigin),
+			key:      action.Key(key),
+			print:    poison.Print(print),
+			arrived:  now,
+			deadline: now.Add(time.Duration(left) * time.Microsecond),
+		},
+	}, nil
+}
+
+// encodeHop writes an answer to another Front.
+func (a *answer) encodeHop(w http.ResponseWriter) {
+	h := w.Header()
+	h["Date"] = nil
+	h.Set(hopOutcome, a.outcome.String())
+	if a.why != "" {
+		h.Set(hopWhy, a.why)
+	}
+	if a.level < action.Open {
+		h.Set(hopLevel, strconv.FormatUint(uint64(a.level), 10))
+	}
+	h.Set(hopLoad, fmt.Sprintf("%d,%d,%d", a.load.running, a.load.queued, a.load.limit))
+	h.Set(hopTimes, fmt.Sprintf("%d,%d", a.waited.Microseconds(), a.ran.Microseconds()))
+	h.Set(hopInstance, a.instance)
+	if a.outcome != answered {
+		h.Set("Content-Length", "0")
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	a.write(w)
+}
+
+// decodeHop reads an answer of another Front.
+func decodeHop(resp *httpc.Response) *answer {
+	h := resp.Header
+	a := &answer{
+		outcome:  unknown,
+		why:      h.Get(hopWhy),
+		status:   resp.Status,
+		body:     resp.Body,
+		rest:     resp.Rest,
+		length:   resp.Length,
+		close:    resp.Close,
+		level:    action.Open,
+		instance: h.Get(hopInstance),
+	}
+	switch h.Get(hopOutcome) {
+	case answered.String():
+		a.outcome = answered
+	case notRun.String():
+		a.outcome = notRun
+	case unknown.String():
+	default:
+		a.why = whyLost
+	}
+	if n, err := strconv.ParseUint(h.Get(hopLevel), 10, 32); err == nil && n < uint64(action.Open) {
+		a.level = action.Level(n)
+	}
+	l := numbers(h.Get(hopLoad), 3)
+	a.load = load{running: l[0], queued: l[1], limit: l[2]}
+	t := numbers(h.Get(hopTimes), 2)
+	a.waited = time.Duration(t[0]) * time.Microsecond
+	a.ran = time.Duration(t[1]) * time.Microsecond
+	a.header = forwardable(h)
+	return a
+}
+
+// numbers reads n whole numbers that commas separate; missing ones are 0.
+func numbers(list string, n int) []int {
+	out := make([]int, n)
+	for i, part := range strings.SplitN(list, ",", n) {
+		v, err := strconv.Atoi(part)
+		if err == nil && v >= 0 {
+			out[i] = v
+		}
+	}
+	return out
+}
+
+// readBody reads a body up to the buffer, and returns the rest as a stream when
+// it is longer.
+func readBody(body io.Reader, length int64) ([]byte, io.Reader, error) {
+	if length == 0 {
+		return nil, nil, nil
+	}
+	if length > bodyBuffer {
+		return nil, body, nil
+	}
+	head, err := io.ReadAll(io.LimitReader(body, bodyBuffer+1))
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(head) > bodyBuffer {
+		return nil, io.MultiReader(strings.NewReader(string(head)), body), nil
+	}
+	return head, nil, nil
+}
--- /dev/null
+++ b/front/ingress.go
@@ -0,0 +1,195 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorespread.dev/admit"
+	"sycamorespread.dev/httpc"
+	"sycamorespread.dev/life"
+	"sycamorespread.dev/poison"
+	"sycamorespread.dev/policy"
+)
+
+// serverGrace is how much longer than the deadline the backend server's own word is awaited.
+const serverGrace = 80 * time.Millisecond
+
+// ingress takes a request of another Front.
+func (f *Front) ingress(w http.ResponseWriter, r *http.Request) {
+	defer f.begin()()
+	a, err := decodeArrival(r, f.Headers, f.Now())
+	if err != nil {
+		f.Log.WithField("err", err).Warn("request of another daemon cannot be read")
+		refusal(whyLost).encodeHop(w)
+		return
+	}
+	a.route = &policy.Route{Name: a.routeName, Repeatable: a.repeatable}
+	a.length = r.ContentLength
+	a.body, a.stream, err = readBody(r.Body, r.ContentLength)
+	if err != nil {
+		refusal(whyGone).encodeHop(w)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), a.deadline.Add(serverGrace))
+	defer cancel()
+	f.run(ctx, a.request).encodeHop(w)
+}
+
+// run admits a request to the own backend server and runs it there.
+func (f *Front) run(ctx context.Context, r *request) *answer {
+	ans := f.admitAndRun(ctx, r)
+	s := f.Gate.Stats()
+	ans.load = load{running: s.Inflight, queued: s.Queued, limit: s.Limit}
+	ans.level = min(f.Gate.Level(), f.deep.level(r.route.Name, f.Table))
+	f.logRun(r, ans)
+	return ans
+}
+
+// unwilling says why the backend server takes no work, empty when it does.
+func (f *Front) unwilling(r *request) string {
+	s := f.Server()
+	switch {
+	case s.State == life.Leaving:
+		return whyLeaving
+	case s.State != life.Ready:
+		return whyDown
+	case s.Service != r.service:
+		return whyMoved
+	case f.Book.State(r.print) == poison.Quarantined:
+		return whyQuarantine
+	}
+	return ""
+}
+
+func (f *Front) admitAndRun(ctx context.Context, r *request) *answer {
+	if why := f.unwilling(r); why != "" {
+		return refusal(why)
+	}
+	asked := f.Now()
+	pass, err := f.Gate.Enter(ctx, admit.Call{Key: r.key, Method: r.route.Name, Deadline: r.deadline})
+	if err != nil {
+		return refusal(whyNotAdmitted(err))
+	}
+	waited := f.Now().Sub(asked)
+	// The server may have said that it leaves while the request waited.
+	if why := f.unwilling(r); why != "" {
+		pass.Leave(admit.Lost)
+		return refusal(why)
+	}
+	f.deep.started(r.route.Name)
+	began := f.Now()
+	ans, verdict := f.callServer(ctx, r)
+	pass.Leave(verdict)
+	ans.waited, ans.ran = waited, f.Now().Sub(began)
+	return ans
+}
+
+func whyNotAdmitted(err error) string {
+	var late *admit.LateError
+	var shed *admit.ShedError
+	switch {
+	case errors.As(err, &late):
+		return whyLate
+	case errors.As(err, &shed):
+		return whyShed
+	case errors.Is(err, context.DeadlineExceeded):
+		return whyLate
+	}
+	return whyGone
+}
+
+// callServer sends a request to the backend server and judges its answer.
+func (f *Front) callServer(ctx context.Context, r *request) (*answer, admit.Verdict) {
+	s := f.Server()
+	run := f.runs.begin(r, f.Now())
+	defer f.runs.end(run)
+	resp, err := f.Backend.Do(ctx, f.App, f.serverRequest(r, s))
+	if err != nil {
+		return f.serverFailure(ctx, r, s, err)
+	}
+	h := resp.Header
+	id := h.Get(f.Headers.RequestID)
+	signed := h.Get(f.Headers.Signature) != ""
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest:
+		resp.Close()
+		f.Lost(s.Instance)
+		return refusal(whyMoved), admit.Lost
+	case h.Get(f.Headers.NotRun) != "":
+		resp.Close()
+		return refusal(whyRefused), admit.Refused
+	case id != r.id, resp.Status < http.StatusMultipleChoices && !signed:
+		resp.Close()
+		f.Backend.Forget(f.App)
+		return lost(whyLost), admit.Lost
+	}
+	if resp.Status < http.StatusInternalServerError {
+		f.cleared(r.print)
+	}
+	return &answer{
+		outcome:  answered,
+		status:   resp.Status,
+		header:   forwardable(h),
+		body:     resp.Body,
+		rest:     resp.Rest,
+		length:   resp.Length,
+		close:    resp.Close,
+		instance: s.Instance,
+	}, admit.Ran
+}
+
+// serverRequest returns the request as the backend server gets it.
+func (f *Front) serverRequest(r *request, s life.Server) *httpc.Request {
+	h := r.header.Clone()
+	left := max(1, r.deadline.Sub(f.Now()).Milliseconds())
+	h.Set(f.Headers.TimeLeft, strconv.FormatInt(left, 10))
+	h.Set(f.Headers.Expected, s.Instance)
+	h.Set(f.Headers.Origin, r.origin)
+	req := &httpc.Request{
+		Method: r.method,
+		Target: r.target,
+		Host:   r.host,
+		Header: h,
+		Body:   r.body,
+		Stream: r.stream,
+		Length: r.length,
+		Buffer: answerBuffer,
+	}
+	if !r.route.Repeatable {
+		req.Fresh = freshUnrepeatable
+	}
+	return req
+}
+
+// serverFailure judges a request without an answer of the backend server.
+func (f *Front) serverFailure(ctx context.Context, r *request, s life.Server, err error) (*answer, admit.Verdict) {
+	var dial *httpc.DialError
+	if errors.As(err, &dial) {
+		if ctx.Err() != nil {
+			return refusal(whyGone), admit.Lost
+		}
+		f.Log.WithFields(f.fields(r)).WithField("err", err).Warn("backend server unreachable")
+		f.Lost(s.Instance)
+		f.Backend.Forget(f.App)
+		return refusal(whyDown), admit.Lost
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return lost(whyTimeout), admit.Lost
+	case ctx.Err() != nil:
+		return lost(whyGone), admit.Lost
+	}
+	f.Log.WithFields(f.fields(r)).WithField("err", err).Warn("answer of the backend server lost")
+	return lost(whyLost), admit.Lost
+}
+
+// cleared lifts the suspicion from a request that ran well.
+func (f *Front) cleared(p poison.Print) {
+	if f.Book.State(p) == poison.Suspect {
+		f.Book.Lift(p)
+	}
+}
--- /dev/null
+++ b/httpc/pool.go
@@ -0,0 +1,193 @@
+// Package httpc is an HTTP/1.1 client that accounts for every byte it sends.
+//
+// A Pool sends one request at a time on a connection, and sends it once: a
+// request that may have reached the server is never sent again behind the
+// caller's back. Errors tell apart what was not sent (*DialError) from what
+// may have run (*LostError). A connection is kept only after a whole answer
+// with nothing behind it.
+//
+//	p := httpc.New(httpc.Config{DialTimeout: time.Second, Idle: 8 * time.Second, Now: time.Now})
+//	resp, err := p.Do(ctx, addr, &httpc.Request{Method: "GET", Target: "/a/b?c", Host: "example"})
+//	if err != nil {
+//		return err
+//	}
+//	defer resp.Close()
+package httpc
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Config holds the settings of a Pool.
+type Config struct {
+	// DialTimeout bounds the time to connect.
+	DialTimeout time.Duration
+	// Idle is how long an idle connection is kept unless the server says less.
+	Idle time.Duration
+	// MaxIdle is the number of idle connections kept for one address.
+	MaxIdle int
+	// Now reads the clock.
+	Now func() time.Time
+}
+
+// DialError reports a server that could not be reached; nothing was sent.
+type DialError struct {
+	Addr netip.AddrPort
+	// Refused tells that the address has no listener.
+	Refused bool
+	Err     error
+}
+
+func (e *DialError) Error() string {
+	return fmt.Sprintf("connect to %s: %v", e.Addr, e.Err)
+}
+
+func (e *DialError) Unwrap() error {
+	return e.Err
+}
+
+// LostError reports a request without a usable answer; the server may have
+// run it.
+type LostError struct {
+	Addr netip.AddrPort
+	// Reused tells that the connection had served requests before.
+	Reused bool
+	Err    error
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("answer of %s lost: %v", e.Addr, e.Err)
+}
+
+func (e *LostError) Unwrap() error {
+	return e.Err
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	cfg   Config
+	dials atomic.Int64
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	return &Pool{cfg: cfg, idle: map[netip.AddrPort][]*conn{}}
+}
+
+// Dials returns how many connections were made.
+func (p *Pool) Dials() int64 {
+	return p.dials.Load()
+}
+
+// take returns the connection to addr that was used last, nil when none was
+// used within the time fresh.
+func (p *Pool) take(addr netip.AddrPort, fresh time.Duration) *conn {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			return nil
+		}
+		idle := p.cfg.Now().Sub(c.idleSince)
+		if idle <= min(c.keep, fresh) && c.alive() {
+			c.reused = true
+			return c
+		}
+		if idle <= c.keep && idle > fresh && c.alive() {
+			// Still good for a request that may be repeated.
+			p.put(c)
+			return nil
+		}
+		_ = c.nc.Close()
+	}
+}
+
+func (p *Pool) pop(addr netip.AddrPort) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	list := append(p.idle[c.addr], c)
+	var drop *conn
+	if len(list) > p.cfg.MaxIdle {
+		drop, list = list[0], list[1:]
+	}
+	p.idle[c.addr] = list
+	p.mu.Unlock()
+	if drop != nil {
+		_ = drop.nc.Close()
+	}
+}
+
+// Sweep closes the connections that have been idle for too long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	now := p.cfg.Now()
+	var drop []*conn
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleSince) > c.keep {
+				drop = append(drop, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		p.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range drop {
+		_ = c.nc.Close()
+	}
+}
+
+// Forget closes the idle connections to addr, as after the server there ended.
+func (p *Pool) Forget(addr netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.nc.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = map[netip.AddrPort][]*conn{}
+	p.mu.Unlock()
+	for _, list := range all {
+		for _, c := range list {
+			_ = c.nc.Close()
+		}
+	}
+}
+
+// get returns a connection for a request.
+func (p *Pool) get(ctx context.Context, addr netip.AddrPort, fresh time.Duration) (*conn, error) {
+	if c := p.take(addr, fresh); c != nil {
+		return c, nil
+	}
+	return p.dial(ctx, addr)
+}
--- /dev/null
+++ b/httpc/request.go
@@ -0,0 +1,271 @@
+package httpc
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Request is one request to send.
+type Request struct {
+	Method string
+	// Target is the path and query as they go on the wire.
+	Target string
+	Host   string
+	Header http.Header
+	// Body is sent with its length. Stream, when set, is sent in its place.
+	Body []byte
+	// Stream is sent with Length bytes, or in chunks when Length is below 0.
+	Stream io.Reader
+	Length int64
+	// Fresh, when above 0, is how long a reused connection may have been idle.
+	Fresh time.Duration
+	// Buffer is the largest answer that is read whole before Do returns, in bytes.
+	Buffer int64
+}
+
+// Response is an answer. Close must be called.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body is the whole body, unless Rest is set.
+	Body []byte
+	// Rest is the body of an answer larger than the buffer of the request.
+	// An error other than io.EOF means that the body is not whole.
+	Rest io.Reader
+	// Length is the announced length of the body, below 0 when there is none.
+	Length int64
+
+	close func()
+}
+
+// Close frees the connection.
+func (r *Response) Close() {
+	if r.close != nil {
+		r.close()
+		r.close = nil
+	}
+}
+
+// longest is used for Fresh when a request sets none.
+const longest = time.Hour
+
+// maxInterim bounds the interim answers before the final one.
+const maxInterim = 8
+
+// buffers holds the buffers that requests are formed in.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// exchange is one request on its connection.
+type exchange struct {
+	p    *Pool
+	c    *conn
+	req  *Request
+	stop func() bool
+	// sent ends when the body is sent; nil when it was sent with the header.
+	sent *errgroup.Group
+	// whole tells that the request was sent wholly.
+	whole bool
+}
+
+// Do sends a request once and returns its answer. It returns a *DialError
+// when nothing was sent and a *LostError otherwise.
+func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*Response, error) {
+	fresh := req.Fresh
+	if fresh <= 0 {
+		fresh = longest
+	}
+	c, err := p.get(ctx, addr, fresh)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{p: p, c: c, req: req}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(past) })
+	resp, err := x.run()
+	if err != nil {
+		x.abort()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &LostError{Addr: addr, Reused: c.reused, Err: err}
+	}
+	return resp, nil
+}
+
+func (x *exchange) run() (*Response, error) {
+	if err := x.send(); err != nil {
+		return nil, errors.Wrap(err, "send")
+	}
+	resp, err := x.header()
+	if err != nil {
+		return nil, errors.Wrap(err, "read the header")
+	}
+	return x.body(resp)
+}
+
+// abort breaks the connection and waits for the task that sends the body.
+func (x *exchange) abort() {
+	x.stop()
+	_ = x.c.nc.Close()
+	if x.sent != nil {
+		// Its error is that of the closed connection.
+		_ = x.sent.Wait()
+	}
+}
+
+// send writes the header and the body. A streamed body goes on beside the
+// reading of the answer, since a server may answer before it has read all.
+func (x *exchange) send() error {
+	b := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(b)
+	b.Reset()
+	x.req.form(b)
+	if _, err := x.c.nc.Write(b.Bytes()); err != nil {
+		return err
+	}
+	if x.req.Stream == nil {
+		x.whole = true
+		return nil
+	}
+	x.sent = new(errgroup.Group)
+	x.sent.Go(x.stream)
+	return nil
+}
+
+func (x *exchange) stream() error {
+	if x.req.Length >= 0 {
+		n, err := io.Copy(x.c.nc, io.LimitReader(x.req.Stream, x.req.Length))
+		if err == nil && n < x.req.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			// The server must not wait for the rest.
+			_ = x.c.nc.SetDeadline(past)
+		}
+		return err
+	}
+	w := httputil.NewChunkedWriter(x.c.nc)
+	if _, err := io.Copy(w, x.req.Stream); err != nil {
+		_ = x.c.nc.SetDeadline(past)
+		return err
+	}
+	if err := w.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(x.c.nc, "\r\n")
+	return err
+}
+
+// form writes the header, and the body when it is not streamed.
+func (r *Request) form(b *bytes.Buffer) {
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	switch {
+	case r.Stream != nil && r.Length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	case r.Stream != nil:
+		b.WriteString("Content-Length: " + strconv.FormatInt(r.Length, 10) + "\r\n\r\n")
+	case len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n\r\n")
+		b.Write(r.Body)
+	default:
+		b.WriteString("\r\n")
+	}
+}
+
+// header reads the final answer's header.
+func (x *exchange) header() (*http.Response, error) {
+	asked := &http.Request{Method: x.req.Method}
+	for range maxInterim {
+		resp, err := http.ReadResponse(x.c.br, asked)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("the server switches protocols")
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// body reads the body up to the buffer of the request.
+func (x *exchange) body(resp *http.Response) (*Response, error) {
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	if x.req.Buffer > 0 && resp.ContentLength > x.req.Buffer {
+		x.leave(out, resp, nil)
+		return out, nil
+	}
+	head, err := readUpTo(resp.Body, resp.ContentLength, x.req.Buffer)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the body")
+	}
+	if int64(len(head)) > x.req.Buffer {
+		x.leave(out, resp, head)
+		return out, nil
+	}
+	out.Body = head
+	x.finish(resp, true)
+	return out, nil
+}
+
+// readUpTo reads a body of the announced length, at most one byte more than
+// the buffer.
+func readUpTo(r io.Reader, length, buffer int64) ([]byte, error) {
+	if length >= 0 {
+		b := make([]byte, length)
+		_, err := io.ReadFull(r, b)
+		return b, err
+	}
+	return io.ReadAll(io.LimitReader(r, buffer+1))
+}
+
+// leave hands the rest of a large body to the caller.
+func (x *exchange) leave(out *Response, resp *http.Response, head []byte) {
+	end := &ending{r: io.MultiReader(bytes.NewReader(head), resp.Body)}
+	out.Rest = end
+	out.close = func() { x.finish(resp, end.whole) }
+}
+
+// ending notes whether a body was read to its end.
+type ending struct {
+	r     io.Reader
+	whole bool
+}
+
+// Read implements io.Reader.
+func (e *ending) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	e.whole = err == io.EOF
+	return n, err
+}
+
+// finish keeps the connection when nothing on it is in doubt.
+func (x *exchange) finish(resp *http.Response, whole bool) {
+	if !x.stop() || !whole || !x.whole || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || x.c.br.Buffered() > 0 {
+		x.abort()
+		return
+	}
+	x.c.keep = keepFor(resp.Header, x.p.cfg.Idle)
+	x.c.idleSince = x.p.cfg.Now()
+	x.p.put(x.c)
+}
--- /dev/null
+++ b/life/life.go
@@ -0,0 +1,154 @@
+// Package life follows the backend server beside a daemon from its start to
+// its end.
+//
+// A backend server says of itself that it is ready or leaves; it says nothing
+// when it crashes. Reports may come late and out of order: they are ordered by
+// the start of the server, then by their sequence. A server that said it
+// leaves never becomes ready again; a later start does.
+//
+//	k := life.New(addr, time.Now, func(s life.Server) { announce(s) })
+//	k.Beat(report)
+//	if s := k.Server(); s.State == life.Ready {
+//		// run work there
+//	}
+package life
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// State tells whether a backend server takes work.
+type State int
+
+const (
+	// Unknown is a server that has not said anything to this process.
+	Unknown State = iota
+	// Ready is a server that takes work.
+	Ready
+	// Down is a server that refuses connections or is another than expected.
+	Down
+	// Leaving is a server that said it leaves.
+	Leaving
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"unknown", "ready", "down", "leaving"}[s]
+}
+
+// Report is what a backend server says of itself.
+type Report struct {
+	// Instance is the ID of the server, Born the time of its start.
+	Instance string
+	Born     time.Time
+	// Sequence rises with each report of one start.
+	Sequence int64
+	Addr     netip.AddrPort
+	Service  string
+	// Software is the version of the server's software.
+	Software string
+	Zone     string
+	// Slots is the number of requests that the server runs at once.
+	Slots    int
+	Draining bool
+	// Cold is how much longer the server stays slow after its start.
+	Cold time.Duration
+}
+
+// Server is what is known of the backend server.
+type Server struct {
+	Report
+	State State
+	// ColdUntil is when the server is expected to be at full speed.
+	ColdUntil time.Time
+	// Since is when the state last changed.
+	Since time.Time
+}
+
+// Keeper holds the state of one backend server. It is safe for concurrent
+// use.
+type Keeper struct {
+	addr    netip.AddrPort
+	now     func() time.Time
+	changed func(Server)
+
+	mu     sync.Mutex
+	server Server
+}
+
+// New returns a Keeper for the server at addr that calls changed, outside of
+// any lock, after each change of the server or its state.
+func New(addr netip.AddrPort, now func() time.Time, changed func(Server)) *Keeper {
+	return &Keeper{addr: addr, now: now, changed: changed}
+}
+
+// Server returns what is known now.
+func (k *Keeper) Server() Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.server
+}
+
+// Beat takes a report and tells whether it is of the server at this keeper's
+// address. A report that is older than what is known changes nothing.
+func (k *Keeper) Beat(r Report) bool {
+	if r.Addr != k.addr {
+		return false
+	}
+	k.update(func(s *Server) bool {
+		if r.Born.Before(s.Born) || r.Born.Equal(s.Born) && r.Sequence <= s.Sequence {
+			return false
+		}
+		fresh := r.Born.After(s.Born)
+		was := s.State
+		s.Report = r
+		s.ColdUntil = k.now().Add(r.Cold)
+		switch {
+		case r.Draining || was == Leaving && !fresh:
+			s.State = Leaving
+		default:
+			s.State = Ready
+		}
+		return fresh || s.State != was
+	})
+	return true
+}
+
+// Leave takes the word that a server leaves. A zero born means that it was
+// not said.
+func (k *Keeper) Leave(id string, born time.Time) {
+	k.update(func(s *Server) bool {
+		if s.Instance != id || !born.IsZero() && !born.Equal(s.Born) || s.State == Leaving {
+			return false
+		}
+		s.State = Leaving
+		return true
+	})
+}
+
+// Lost records that the server with the given ID refuses connections, or that
+// another one has its address. Its next report brings it back.
+func (k *Keeper) Lost(id string) {
+	k.update(func(s *Server) bool {
+		if s.Instance != id || s.State != Ready {
+			return false
+		}
+		s.State = Down
+		return true
+	})
+}
+
+func (k *Keeper) update(f func(*Server) bool) {
+	k.mu.Lock()
+	changed := f(&k.server)
+	if changed {
+		k.server.Since = k.now()
+	}
+	s := k.server
+	k.mu.Unlock()
+	if changed && k.changed != nil {
+		k.changed(s)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -68,6 +68,8 @@
 	ChangeID string
 	// Text is the source.
 	Text string
+	// Table holds the routes of HTTP requests, nil when there are none.
+	Table *Table
 
 	methods  map[string]Method
 	services map[string]bool
--- a/policy/registry.go
+++ b/policy/registry.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/action"
+	"sycamorespread.dev/store"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -31,8 +32,8 @@
 // number of registries may work on the same platform.
 type Registry struct {
 	// Get and Put are the platform's reads and compare-and-swaps.
-	Get func(ctx context.Context, key string) (*sycapb.Item, error)
-	Put func(ctx context.Context, key string, value []byte, base, lease uint64) (*sycapb.PutReply, error)
+	Get func(ctx context.Context, key string) (store.Item, error)
+	Put func(ctx context.Context, key string, value []byte, base, lease uint64) (store.Written, error)
 	// Now reads the clock for the dates of changes.
 	Now func() time.Time
 	// Sleep waits between the tries of an accept and reports whether ctx is still live.
@@ -120,14 +121,14 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if item.Version == 0 {
+	if item.Revision == 0 {
 		return nil, 0, &RefusedError{Problem: fmt.Sprintf("change %q does not exist", id)}
 	}
 	c := new(sycapb.Change)
 	if err := proto.Unmarshal(item.Value, c); err != nil {
 		return nil, 0, errors.Wrapf(err, "decode change %s", id)
 	}
-	return c, item.Version, nil
+	return c, item.Revision, nil
 }
 
 func (r *Registry) head(ctx context.Context) (*sycapb.Head, uint64, error) {
@@ -136,7 +137,7 @@
 		return nil, 0, err
 	}
 	h, err := ParseHead(item.Value)
-	return h, item.Version, err
+	return h, item.Revision, err
 }
 
 // ParseHead reads the value of HeadKey; an empty value is revision 0.
--- a/policy/registry_test.go
+++ b/policy/registry_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"sycamorespread.dev/policy"
@@ -34,13 +33,13 @@
 // fake is a platform whose calls happen one at a time, in an order and with
 // losses that the test chooses.
 type fake struct {
-	items   map[string]*sycapb.Item
+	items   map[string]store.Item
 	version uint64
 	steps   chan *step
 }
 
 func newFake() *fake {
-	return &fake{items: map[string]*sycapb.Item{}, steps: make(chan *step)}
+	return &fake{items: map[string]store.Item{}, steps: make(chan *step)}
 }
 
 // wait asks for a turn; without a scheduler every call is served.
@@ -53,35 +52,35 @@
 	return <-s.turn
 }
 
-func (f *fake) item(key string) *sycapb.Item {
+func (f *fake) item(key string) store.Item {
 	if it, ok := f.items[key]; ok {
-		return proto.Clone(it).(*sycapb.Item)
+		return it
 	}
-	return &sycapb.Item{Key: key}
+	return store.Item{Key: key}
 }
 
 func (f *fake) registry(scheduled bool) *policy.Registry {
 	return &policy.Registry{
-		Get: func(_ context.Context, key string) (*sycapb.Item, error) {
+		Get: func(_ context.Context, key string) (store.Item, error) {
 			if f.wait(scheduled, false) != served {
-				return nil, &store.UnavailableError{Op: "get", Key: key, Err: errors.New("lost")}
+				return store.Item{}, &store.UnavailableError{Op: "get", Key: key, Err: errors.New("lost")}
 			}
 			return f.item(key), nil
 		},
-		Put: func(_ context.Context, key string, value []byte, base, _ uint64) (*sycapb.PutReply, error) {
+		Put: func(_ context.Context, key string, value []byte, base, _ uint64) (store.Written, error) {
 			a := f.wait(scheduled, true)
 			lost := &store.UnavailableError{Op: "put", Key: key, Written: true, Err: errors.New("lost")}
 			if a == lostBefore {
-				return nil, lost
+				return store.Written{}, lost
 			}
-			reply := &sycapb.PutReply{Item: f.item(key)}
-			if reply.Item.Version == base {
+			reply := store.Written{Item: f.item(key)}
+			if reply.Item.Revision == base {
 				f.version++
-				f.items[key] = &sycapb.Item{Key: key, Value: value, Version: f.version}
-				reply = &sycapb.PutReply{Swapped: true, Item: f.item(key)}
+				f.items[key] = store.Item{Key: key, Value: value, Revision: f.version}
+				reply = store.Written{Swapped: true, Item: f.item(key)}
 			}
 			if a == lostAfter {
-				return nil, lost
+				return store.Written{}, lost
 			}
 			return reply, nil
 		},
@@ -231,7 +230,7 @@
 		t.Fatal(err)
 	}
 	third := proposed(t, r, 3)
-	f.items[policy.HeadKey] = &sycapb.Item{Key: policy.HeadKey, Value: backup.Value, Version: 1000}
+	f.items[policy.HeadKey] = store.Item{Key: policy.HeadKey, Value: backup.Value, Revision: 1000}
 	_, err := r.Accept(ctx, third)
 	var bad *policy.RefusedError
 	if !errors.As(err, &bad) {
--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -5,7 +5,7 @@
 out=../sycapb
 rm -f "$out"/*.pb.go "$out"/*.connect.go
 common=(--go_out="$out/.." --go_opt=module=sycamorespread.dev)
-protoc "${common[@]}" call.proto server.proto store.proto peer.proto member.proto oper.proto stand.proto
+protoc "${common[@]}" call.proto server.proto peer.proto member.proto oper.proto stand.proto
 protoc --connect-go_out="$out/.." --connect-go_opt=module=sycamorespread.dev,package_suffix= \
-  call.proto server.proto store.proto oper.proto stand.proto
+  call.proto server.proto oper.proto stand.proto
 protoc --go-drpc_out="$out/.." --go-drpc_opt=module=sycamorespread.dev peer.proto
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -68,6 +68,20 @@
 	s.count("egress.attempts")
 }
 
+// Request records how one request of a caller ended at the entry.
+func (s *Set) Request(outcome string, d time.Duration) {
+	s.count("request." + outcome)
+	s.time("request.us", d)
+}
+
+// Run records how one request ended at the ingress, with its time in the
+// queue and at the backend server.
+func (s *Set) Run(outcome string, waited, ran time.Duration) {
+	s.count("run." + outcome)
+	s.time("run.wait_us", waited)
+	s.time("run.us", ran)
+}
+
 // RetryDenied records a retry for which the budget had nothing left.
 func (s *Set) RetryDenied() {
 	s.count("egress.retry_denied")
--- a/store/store.go
+++ b/store/store.go
@@ -2,13 +2,13 @@
 //
 // The platform offers compare-and-swap, leases and watches; it can be slow or
 // down for long, and the answer to a write can be lost after the write took
-// effect. Every failure is an *UnavailableError, which tells whether the
-// write may have taken effect, so that the caller reads back before it does
-// anything else.
+// effect. A failure is an *UnavailableError, which tells whether the write
+// may have taken effect, so that the caller reads back before it does
+// anything else. How calls look on the wire is up to the Transport.
 //
-//	c := store.New(httpClient, netip.MustParseAddrPort("127.0.0.1:7000"))
+//	c := store.New(transport, store.Rates{Reads: 100, Writes: 20})
 //	item, err := c.Get(ctx, "policy/head")
-//	put, err := c.Put(ctx, "policy/head", value, item.Version, 0)
+//	put, err := c.Put(ctx, "policy/head", value, item.Revision, 0)
 //	if !put.Swapped {
 //		// put.Item is what stands there now
 //	}
@@ -16,22 +16,28 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"sycamorespread.dev/sycapb"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 )
 
-// callTimeout bounds one call unless the context ends it earlier.
-const callTimeout = 2 * time.Second
+const (
+	// callTimeout bounds one call unless the context ends it earlier.
+	callTimeout = 2 * time.Second
+	// watchWait is how long a watch waits for a change.
+	watchWait = 20 * time.Second
+	// watchGrace is how long after watchWait the answer of a watch may come.
+	watchGrace = 2 * time.Second
+	// maxPages bounds a list, in pages.
+	maxPages = 50
+	// burstTime is the time for which the rate of calls may be used at once.
+	burstTime = 2 * time.Second
+)
 
-// UnavailableError reports a call that got no answer from the platform.
+// UnavailableError reports a call that got no usable answer from the platform.
 type UnavailableError struct {
 	Op, Key string
 	// Written is true for a write that may have taken effect.
@@ -47,6 +53,30 @@
 	return e.Err
 }
 
+// RefusedError reports a call that the platform turned away; nothing was done.
+type RefusedError struct {
+	// Status is the HTTP status, 0 when the call was not sent.
+	Status int
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused with status %d, nothing was done", e.Status)
+}
+
+// GoneError reports that the history which a watch asked for is lost.
+type GoneError struct {
+	After uint64
+}
+
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("the history after revision %d is lost", e.After)
+}
+
+// Rates bounds the calls per second of one client.
+type Rates struct {
+	Reads, Writes float64
+}
+
 // Counts tells how many calls a client made.
 type Counts struct {
 	Reads, Writes, Watches int64
@@ -54,13 +84,18 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	rpc                    sycapb.StoreClient
+	t                      Transport
+	readLimit, writeLimit  *rate.Limiter
 	reads, writes, watches atomic.Int64
 }
 
-// New returns a client for the platform at addr.
-func New(h *http.Client, addr netip.AddrPort) *Client {
-	return &Client{rpc: sycapb.NewStoreClient(h, "http://"+addr.String())}
+// New returns a client that calls through t and stays within the rates.
+func New(t Transport, r Rates) *Client {
+	return &Client{t: t, readLimit: limiter(r.Reads), writeLimit: limiter(r.Writes)}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstTime.Seconds())))
 }
 
 // Counts returns the calls made so far.
@@ -68,80 +103,120 @@
 	return Counts{Reads: c.reads.Load(), Writes: c.writes.Load(), Watches: c.watches.Load()}
 }
 
-// Get reads a key. A key that does not exist has version 0.
-func (c *Client) Get(ctx context.Context, key string) (*sycapb.Item, error) {
-	c.reads.Add(1)
+// read makes one read call within the rate and the time of a call.
+func read[T any](ctx context.Context, c *Client, op, key string, call func(context.Context) (T, error)) (T, error) {
+	var zero T
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := c.rpc.Get(ctx, connect.NewRequest(&sycapb.GetRequest{Key: key}))
+	if err := c.readLimit.Wait(ctx); err != nil {
+		return zero, &UnavailableError{Op: op, Key: key, Err: err}
+	}
+	c.reads.Add(1)
+	out, err := call(ctx)
 	if err != nil {
-		return nil, &UnavailableError{Op: "get", Key: key, Err: err}
+		return zero, &UnavailableError{Op: op, Key: key, Err: err}
 	}
-	return r.Msg, nil
+	return out, nil
 }
 
-// Put writes a key if its version is base.
-func (c *Client) Put(ctx context.Context, key string, value []byte, base, lease uint64) (*sycapb.PutReply, error) {
-	c.writes.Add(1)
+// write makes one write call within the rate and the time of a call.
+func write[T any](ctx context.Context, c *Client, op, key string, call func(context.Context) (T, error)) (T, error) {
+	var zero T
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := c.rpc.Put(ctx, connect.NewRequest(&sycapb.PutRequest{Key: key, Value: value, Base: base, Lease: lease}))
+	if err := c.writeLimit.Wait(ctx); err != nil {
+		return zero, &UnavailableError{Op: op, Key: key, Err: err}
+	}
+	c.writes.Add(1)
+	out, err := call(ctx)
 	if err != nil {
-		return nil, &UnavailableError{Op: "put", Key: key, Written: true, Err: err}
+		var refused *RefusedError
+		return zero, &UnavailableError{Op: op, Key: key, Written: !errors.As(err, &refused), Err: err}
 	}
-	return r.Msg, nil
+	return out, nil
 }
 
-// List reads all keys with a prefix.
-func (c *Client) List(ctx context.Context, prefix string) ([]*sycapb.Item, error) {
-	c.reads.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	r, err := c.rpc.List(ctx, connect.NewRequest(&sycapb.ListRequest{Prefix: prefix}))
-	if err != nil {
-		return nil, &UnavailableError{Op: "list", Key: prefix, Err: err}
+// Get reads a key. A key that does not exist has revision 0.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	return read(ctx, c, "get", key, func(ctx context.Context) (Item, error) { return c.t.Get(ctx, key) })
+}
+
+// Put writes a key if its revision is base.
+func (c *Client) Put(ctx context.Context, key string, value []byte, base, lease uint64) (Written, error) {
+	change := Change{Key: key, Value: value, Base: base, Lease: lease}
+	return write(ctx, c, "put", key, func(ctx context.Context) (Written, error) { return c.t.Write(ctx, change) })
+}
+
+// List reads all keys with a prefix, page by page; the pages are no snapshot.
+func (c *Client) List(ctx context.Context, prefix string) ([]Item, error) {
+	var list []Item
+	after := ""
+	for range maxPages {
+		page, err := read(ctx, c, "list", prefix, func(ctx context.Context) (Page, error) {
+			return c.t.Range(ctx, prefix, after)
+		})
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return list, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
 	}
-	return r.Msg.Items, nil
+	return list, nil
 }
 
-// Watch calls changed with the item at once and at every change until ctx
-// ends or the platform breaks off.
-func (c *Client) Watch(ctx context.Context, key string, changed func(*sycapb.Item)) error {
-	c.watches.Add(1)
-	s, err := c.rpc.Watch(ctx, connect.NewRequest(&sycapb.WatchRequest{Key: key}))
+// Watch calls changed with the item at once and at every change that it
+// learns of, until ctx ends or a call fails. Changes in quick succession may
+// be reported as one.
+func (c *Client) Watch(ctx context.Context, key string, changed func(Item)) error {
+	item, err := c.Get(ctx, key)
 	if err != nil {
-		return &UnavailableError{Op: "watch", Key: key, Err: err}
+		return err
 	}
-	for s.Receive() {
-		changed(s.Msg())
+	changed(item)
+	after := item.Revision
+	for ctx.Err() == nil {
+		events, next, err := c.await(ctx, key, after)
+		var gone *GoneError
+		if errors.As(err, &gone) {
+			return c.Watch(ctx, key, changed)
+		}
+		if err != nil {
+			return err
+		}
+		for i := range events {
+			if events[i].Key == key && !events[i].Deleted {
+				changed(events[i].Item)
+			}
+		}
+		after = max(after, next)
 	}
-	err = s.Err()
-	if err == nil {
-		err = errors.New("the stream ended")
-	}
-	return errors.Join(&UnavailableError{Op: "watch", Key: key, Err: err}, s.Close())
+	return ctx.Err()
 }
 
-// Grant opens a lease that lives for ttl unless it is renewed.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
-	c.writes.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// await makes one watch call.
+func (c *Client) await(ctx context.Context, key string, after uint64) ([]Event, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
-	r, err := c.rpc.Grant(ctx, connect.NewRequest(&sycapb.GrantRequest{TtlMs: ttl.Milliseconds()}))
+	if err := c.readLimit.Wait(ctx); err != nil {
+		return nil, 0, &UnavailableError{Op: "watch", Key: key, Err: err}
+	}
+	c.watches.Add(1)
+	events, next, err := c.t.Watch(ctx, key, after, watchWait)
 	if err != nil {
-		return 0, &UnavailableError{Op: "grant", Err: err}
+		return nil, 0, &UnavailableError{Op: "watch", Key: key, Err: err}
 	}
-	return r.Msg.Lease, nil
+	return events, next, nil
+}
+
+// Grant opens a lease that lives for ttl unless it is renewed.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	return write(ctx, c, "grant", "", func(ctx context.Context) (uint64, error) { return c.t.Grant(ctx, ttl) })
 }
 
 // Renew extends a lease and reports whether it was still alive.
 func (c *Client) Renew(ctx context.Context, lease uint64) (bool, error) {
-	c.writes.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	r, err := c.rpc.Renew(ctx, connect.NewRequest(&sycapb.RenewRequest{Lease: lease}))
-	if err != nil {
-		return false, &UnavailableError{Op: "renew", Err: err}
-	}
-	return r.Msg.Alive, nil
+	return read(ctx, c, "renew", "", func(ctx context.Context) (bool, error) { return c.t.Renew(ctx, lease) })
 }
--- a/sycd/main.go
+++ b/sycd/main.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,9 +15,12 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/daemon"
+	"sycamorespread.dev/logs"
+	"sycamorespread.dev/platform"
 )
 
 const (
@@ -24,6 +28,10 @@
 	gcPercent = 400
 	// memoryLimit is where collections become more frequent, in bytes; the limit for a daemon is 128 MB.
 	memoryLimit = 96 << 20
+	// logBuffer is the largest number of bytes of log lines that wait to be written.
+	logBuffer = 1 << 20
+	// logRate bounds the log in the long run, in bytes per second.
+	logRate = 512 << 10
 )
 
 func main() {
@@ -54,14 +62,41 @@
 	}
 	log := logrus.New()
 	log.SetLevel(cfg.LogLevel)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	out := logs.New(os.Stdout, logs.Limits{Buffer: logBuffer, Rate: logRate})
+	log.SetOutput(out)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
-	d, err := daemon.New(cfg, log.WithFields(logrus.Fields{"id": cfg.ID, "zone": cfg.Zone}))
+	d, err := daemon.New(cfg, log.WithFields(logrus.Fields{"id": cfg.ID, "zone": cfg.Zone}), links())
 	if err != nil {
 		return err
 	}
-	return d.Run(ctx)
+	return runBoth(ctx, d, out)
+}
+
+// runBoth runs the daemon, and the writer of its log until the daemon ended.
+func runBoth(ctx context.Context, d *daemon.Daemon, out *logs.Writer) error {
+	var g errgroup.Group
+	writing, stop := context.WithCancel(context.Background())
+	g.Go(func() error {
+		defer stop()
+		return d.Run(ctx)
+	})
+	g.Go(func() error { return out.Run(writing) })
+	return g.Wait()
+}
+
+// links connects the daemon to the users' platform.
+func links() daemon.Links {
+	return daemon.Links{
+		Transport:    platform.NewTransport,
+		PolicyKey:    platform.PolicyKey,
+		DecodePolicy: platform.DecodePolicy,
+		Headers:      platform.Headers(),
+		Heartbeats: func(b daemon.Beats) http.Handler {
+			return platform.HeartbeatHandler(platform.Sink(b))
+		},
+	}
 }
