--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -126,7 +126,7 @@
 func (d *Daemon) settleClaim(ctx context.Context, name string, value []byte, base, lease uint64) (store.Item, error) {
 	put, err := d.platform.Put(ctx, name, value, base, lease)
 	if err == nil {
-		if put.Item.Revision == 0 {
+		if put.NoLease {
 			d.dropLease(lease)
 			return store.Item{}, errors.New("the platform no longer knows the lease of the claim")
 		}
--- a/stand/store.go
+++ b/stand/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,20 +13,31 @@
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/proto"
 
+	"sycamorespread.dev/platform"
+	"sycamorespread.dev/store"
 	"sycamorespread.dev/sycapb"
 )
 
-// maxValue bounds a stored value, in bytes.
-const maxValue = 1 << 20
+const (
+	// maxValue bounds a stored value, in bytes.
+	maxValue = 1 << 20
+	// pageItems is the number of items on a page.
+	pageItems = 50
+	// historyKept is the number of changes that watches can go back.
+	historyKept = 1000
+)
+
+// errLost makes the handler break the connection without an answer.
+var errLost = errors.New("the answer is lost")
 
 func storeCommand() *cobra.Command {
 	var addr string
 	c := &cobra.Command{Use: "store", Short: "Stand-in of the platform's key-value service", Args: cobra.NoArgs}
 	c.Flags().StringVar(&addr, "addr", "127.0.0.1:7000", "IP:PORT to listen on")
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		s := newStore()
+		s := newKeyValues()
 		mux := http.NewServeMux()
-		mux.Handle(sycapb.NewStoreHandler(s))
+		mux.Handle("/", platform.StoreHandler(s.transport()))
 		mux.Handle(sycapb.NewStoreControlHandler(s))
 		return serveHTTP(c.Context(), addr, mux)
 	}
@@ -38,31 +50,36 @@
 	keys    map[string]bool
 }
 
-// store is the stand-in: a map with versions, leases, watches and faults.
-type store struct {
-	mu      sync.Mutex
-	items   map[string]*sycapb.Item
-	old     map[string][]*sycapb.Item
-	version uint64
-	leases  map[uint64]*lease
-	changed chan struct{}
-	faults  *sycapb.StoreFaults
-	counts  *sycapb.StoreCounts
+// keyValues is the stand-in: a map with revisions, leases, watches and faults.
+type keyValues struct {
+	mu       sync.Mutex
+	items    map[string]store.Item
+	heads    []store.Item
+	history  []store.Event
+	revision uint64
+	leases   map[uint64]*lease
+	changed  chan struct{}
+	faults   *sycapb.StoreFaults
+	counts   *sycapb.StoreCounts
 }
 
-func newStore() *store {
-	return &store{
-		items:   map[string]*sycapb.Item{},
-		old:     map[string][]*sycapb.Item{},
-		leases:  map[uint64]*lease{},
-		changed: make(chan struct{}),
-		faults:  &sycapb.StoreFaults{},
-		counts:  &sycapb.StoreCounts{},
+func newKeyValues() *keyValues {
+	return &keyValues{
+		items:    map[string]store.Item{},
+		revision: 1,
+		leases:   map[uint64]*lease{},
+		changed:  make(chan struct{}),
+		faults:   &sycapb.StoreFaults{},
+		counts:   &sycapb.StoreCounts{},
 	}
 }
 
+func (s *keyValues) transport() store.Transport {
+	return store.Transport{Get: s.get, Range: s.page, Watch: s.watch, Write: s.write, Grant: s.grant, Renew: s.renew}
+}
+
 // enter applies the faults to a call, then locks the store.
-func (s *store) enter(ctx context.Context) error {
+func (s *keyValues) enter(ctx context.Context) error {
 	s.mu.Lock()
 	down, delay := s.faults.Down, time.Duration(s.faults.DelayMs)*time.Millisecond
 	s.mu.Unlock()
@@ -73,7 +90,7 @@
 		}
 	}
 	if down {
-		return connect.NewError(connect.CodeUnavailable, errors.New("the store is down"))
+		return &store.RefusedError{Status: http.StatusServiceUnavailable}
 	}
 	s.mu.Lock()
 	s.expire()
@@ -81,7 +98,7 @@
 }
 
 // expire drops the keys of leases that ran out.
-func (s *store) expire() {
+func (s *keyValues) expire() {
 	now := time.Now()
 	for id, l := range s.leases {
 		if now.Before(l.expires) {
@@ -89,140 +106,160 @@
 		}
 		for key := range l.keys {
 			delete(s.items, key)
+			s.revision++
+			s.record(store.Event{Item: store.Item{Key: key, Revision: s.revision}, Deleted: true})
 		}
 		delete(s.leases, id)
-		s.wake()
 	}
 }
 
-func (s *store) wake() {
+// record keeps a change for watches and wakes them.
+func (s *keyValues) record(e store.Event) {
+	s.history = append(s.history, e)
+	if len(s.history) > historyKept {
+		s.history = s.history[1:]
+	}
+	s.wake()
+}
+
+func (s *keyValues) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *store) item(key string) *sycapb.Item {
+func (s *keyValues) item(key string) store.Item {
 	if it, ok := s.items[key]; ok {
 		return it
 	}
-	return &sycapb.Item{Key: key}
+	return store.Item{Key: key}
 }
 
-// Get implements the schema's Store service.
-func (s *store) Get(ctx context.Context, req *connect.Request[sycapb.GetRequest]) (*connect.Response[sycapb.Item], error) {
+func (s *keyValues) get(ctx context.Context, key string) (store.Item, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, err
+		return store.Item{}, err
 	}
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	return connect.NewResponse(s.item(req.Msg.Key)), nil
+	return s.item(key), nil
 }
 
-// Put implements the schema's Store service.
-func (s *store) Put(ctx context.Context, req *connect.Request[sycapb.PutRequest]) (*connect.Response[sycapb.PutReply], error) {
+func (s *keyValues) write(ctx context.Context, c store.Change) (store.Written, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, err
+		return store.Written{}, err
 	}
 	defer s.mu.Unlock()
 	s.counts.Writes++
-	m := req.Msg
-	cur := s.item(m.Key)
-	if len(m.Value) > maxValue {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the value is too large"))
-	}
-	l, ok := s.leases[m.Lease]
-	if cur.Version != m.Base || m.Lease != 0 && !ok {
-		return connect.NewResponse(&sycapb.PutReply{Item: cur}), nil
-	}
-	s.version++
-	next := &sycapb.Item{Key: m.Key, Value: m.Value, Version: s.version}
-	s.old[m.Key] = append(s.old[m.Key], cur)
-	s.items[m.Key] = next
+	cur := s.item(c.Key)
+	l, ok := s.leases[c.Lease]
+	switch {
+	case len(c.Value) > maxValue:
+		return store.Written{}, &store.RefusedError{Status: http.StatusRequestEntityTooLarge}
+	case c.Lease != 0 && !ok:
+		return store.Written{NoLease: true}, nil
+	case cur.Revision != c.Base:
+		return store.Written{Item: cur}, nil
+	}
+	s.revision++
+	next := store.Item{Key: c.Key, Value: c.Value, Revision: s.revision, Lease: c.Lease}
+	if c.Key == headKey {
+		s.heads = append(s.heads, next)
+	}
+	s.items[c.Key] = next
 	if ok {
-		l.keys[m.Key] = true
+		l.keys[c.Key] = true
 	}
-	s.wake()
+	s.record(store.Event{Item: next})
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the answer was lost"))
+		return store.Written{}, errLost
 	}
-	return connect.NewResponse(&sycapb.PutReply{Swapped: true, Item: next}), nil
+	return store.Written{Swapped: true, Item: next}, nil
 }
 
-// List implements the schema's Store service.
-func (s *store) List(ctx context.Context, req *connect.Request[sycapb.ListRequest]) (*connect.Response[sycapb.ListReply], error) {
+func (s *keyValues) page(ctx context.Context, prefix, after string) (store.Page, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, err
+		return store.Page{}, err
 	}
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	reply := &sycapb.ListReply{}
+	p := store.Page{Revision: s.revision}
 	for key, it := range s.items {
-		if strings.HasPrefix(key, req.Msg.Prefix) {
-			reply.Items = append(reply.Items, it)
+		if strings.HasPrefix(key, prefix) && key > after {
+			p.Items = append(p.Items, it)
 		}
 	}
-	return connect.NewResponse(reply), nil
+	slices.SortFunc(p.Items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
+	if len(p.Items) > pageItems {
+		p.Items, p.More = p.Items[:pageItems], true
+	}
+	return p, nil
 }
 
-// Watch implements the schema's Store service.
-func (s *store) Watch(ctx context.Context, req *connect.Request[sycapb.WatchRequest], out *connect.ServerStream[sycapb.Item]) error {
+func (s *keyValues) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
 	if err := s.enter(ctx); err != nil {
-		return err
+		return nil, 0, err
 	}
 	s.counts.Watches++
 	s.mu.Unlock()
-	sent := req.Msg.Version
-	first := true
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	for {
 		s.mu.Lock()
-		it, changed, down := s.item(req.Msg.Key), s.changed, s.faults.Down
+		events, revision, changed, down := s.since(prefix, after), s.revision, s.changed, s.faults.Down
+		lost := len(s.history) == historyKept && s.history[0].Revision > after+1
 		s.mu.Unlock()
-		if down {
-			return connect.NewError(connect.CodeUnavailable, errors.New("the store is down"))
-		}
-		if first || it.Version != sent {
-			if err := out.Send(it); err != nil {
-				return err
-			}
-			sent, first = it.Version, false
+		switch {
+		case down:
+			return nil, 0, &store.RefusedError{Status: http.StatusServiceUnavailable}
+		case lost:
+			return nil, 0, &store.GoneError{After: after}
+		case len(events) > 0 || ctx.Err() != nil:
+			return events, revision, nil
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
 		case <-changed:
 		}
 	}
 }
 
-// Grant implements the schema's Store service.
-func (s *store) Grant(ctx context.Context, req *connect.Request[sycapb.GrantRequest]) (*connect.Response[sycapb.GrantReply], error) {
+// since returns the changes after a revision to keys with the prefix; s.mu is held.
+func (s *keyValues) since(prefix string, after uint64) []store.Event {
+	var list []store.Event
+	for _, e := range s.history {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (s *keyValues) grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, err
+		return 0, err
 	}
 	defer s.mu.Unlock()
 	s.counts.Writes++
-	s.version++
-	ttl := time.Duration(req.Msg.TtlMs) * time.Millisecond
-	s.leases[s.version] = &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]bool{}}
-	return connect.NewResponse(&sycapb.GrantReply{Lease: s.version}), nil
+	s.revision++
+	s.leases[s.revision] = &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]bool{}}
+	return s.revision, nil
 }
 
-// Renew implements the schema's Store service.
-func (s *store) Renew(ctx context.Context, req *connect.Request[sycapb.RenewRequest]) (*connect.Response[sycapb.RenewReply], error) {
+func (s *keyValues) renew(ctx context.Context, id uint64) (bool, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, err
+		return false, err
 	}
 	defer s.mu.Unlock()
-	s.counts.Writes++
-	l, ok := s.leases[req.Msg.Lease]
+	s.counts.Reads++
+	l, ok := s.leases[id]
 	if ok {
 		l.expires = time.Now().Add(l.ttl)
 	}
-	return connect.NewResponse(&sycapb.RenewReply{Alive: ok}), nil
+	return ok, nil
 }
 
 // SetFaults implements the schema's StoreControl service.
-func (s *store) SetFaults(_ context.Context, req *connect.Request[sycapb.StoreFaults]) (*connect.Response[sycapb.FaultsReply], error) {
+func (s *keyValues) SetFaults(_ context.Context, req *connect.Request[sycapb.StoreFaults]) (*connect.Response[sycapb.FaultsReply], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = proto.Clone(req.Msg).(*sycapb.StoreFaults)
@@ -233,13 +270,17 @@
 	return connect.NewResponse(&sycapb.FaultsReply{Counts: proto.Clone(s.counts).(*sycapb.StoreCounts)}), nil
 }
 
+// headKey is where the product keeps its own policy head.
+const headKey = "policy/head"
+
 // restoreHead puts the first policy head back, as an old backup would.
-func (s *store) restoreHead() {
-	const head = "policy/head"
-	old := s.old[head]
-	if len(old) < 2 {
+func (s *keyValues) restoreHead() {
+	if len(s.heads) < 2 {
 		return
 	}
-	s.version++
-	s.items[head] = &sycapb.Item{Key: head, Value: old[1].Value, Version: s.version}
+	s.revision++
+	it := s.heads[0]
+	it.Revision = s.revision
+	s.items[headKey] = it
+	s.record(store.Event{Item: it})
 }
--- a/store/item.go
+++ b/store/item.go
@@ -45,6 +45,8 @@
 type Written struct {
 	// Swapped tells that the change was made.
 	Swapped bool
+	// NoLease tells that the lease of the change has ended; nothing was done.
+	NoLease bool
 	// Item is what stands at the key afterwards.
 	Item Item
 }
