front: own calls take the importance of their run; deep levels climb; SIGHUP reloads

Calls of a backend server now carry the key and deadline of the run that made them, and the levels of deeper services reach the entries.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,11 +92,13 @@
 	links    Links
 	front    *front.Front
 	fronts   []served
-	keeper   *life.Keeper
-	hops     *httpc.Pool
-	app      *httpc.Pool
-	crashes  crashes
-	suspects chan struct{}
+	// stopTimes holds the times of a stop, which a reload may change.
+	stopTimes atomic.Pointer[config.Front]
+	keeper    *life.Keeper
+	hops      *httpc.Pool
+	app       *httpc.Pool
+	crashes   crashes
+	suspects  chan struct{}
 
 	incarnation uint64
 	leaving     atomic.Bool
@@ -139,6 +141,7 @@
 		pulls:       make(chan pull, 1),
 	}
 	monotonic := func() time.Duration { return time.Since(started) }
+	d.stopTimes.Store(&cfg.Front)
 	d.home = ticket.NewHome(cfg.ID, rand.Uint64(), cfg.TicketValid, monotonic)
 	d.book = poison.New(time.Now, d.poisonChanged)
 	if err := d.loadPolicy(); err != nil {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -37,6 +37,9 @@
 	// maxIdlePeer and maxIdleServer bound the idle connections to one address.
 	maxIdlePeer   = 64
 	maxIdleServer = 256
+	// slotShare is the part of the slots that is used; backend servers slow down when
+	// they are nearly full, and probes and new connections take slots too.
+	slotShare = 0.95
 	// sweepEvery is the time between two rounds that close idle connections.
 	sweepEvery = 2 * time.Second
 	// announceAfter is how long a stopping daemon waits until it announces that it takes no new work,
@@ -175,13 +178,14 @@
 // elsewhere and nothing is in flight.
 func (d *Daemon) leaveFront() {
 	began := time.Now()
+	times := d.stopTimes.Load()
 	d.leaving.Store(true)
 	d.log.WithField("inflight", d.front.Inflight()).Info("stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Front.StopMost)
+	ctx, cancel := context.WithTimeout(context.Background(), times.StopMost)
 	defer cancel()
-	sleep(ctx, min(announceAfter, d.cfg.Front.StopWait))
+	sleep(ctx, min(announceAfter, times.StopWait))
 	d.node.Update(func(e *sycapb.MemberEntry) { e.Leaving = true })
-	sleep(ctx, d.cfg.Front.StopWait-time.Since(began))
+	sleep(ctx, times.StopWait-time.Since(began))
 	for d.front.Inflight() > 0 && sleep(ctx, leavePoll) {
 	}
 	d.node.Update(func(e *sycapb.MemberEntry) { e.State = sycapb.MemberState_MEMBER_STATE_LEFT })
@@ -201,7 +205,7 @@
 		"sequence": s.Sequence, "born": s.Born.UnixMilli(), "cold": time.Until(s.ColdUntil).Round(time.Millisecond),
 	}).Info("backend server")
 	if up {
-		d.gate.Refit(s.Slots, max(0, time.Until(s.ColdUntil)))
+		d.gate.Refit(max(1, int(slotShare*float64(s.Slots))), max(0, time.Until(s.ColdUntil)))
 		d.app.Forget(d.cfg.Server)
 	}
 	d.down.Store(!up)
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -15,7 +15,7 @@
 
 const (
 	// watchPause is the pause before a broken watch is opened again.
-	watchPause = time.Second
+	watchPause = 300 * time.Millisecond
 	// pullWait bounds one pull from a peer.
 	pullWait = time.Second
 )
--- a/front/deep.go
+++ b/front/deep.go
@@ -1,29 +1,81 @@
 package front
 
 import (
+	"strings"
 	"sync"
+	"time"
 
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/route"
 )
 
-// deep learns which calls the runs of each route make, so that the levels of
-// deeper services reach those who send to that route.
+// deepKeep is how long a call counts as one that a route's runs make.
+const deepKeep = 2 * time.Second
+
+// deep remembers which calls the runs of each route make, so that the levels
+// of deeper services reach those who send to that route.
 type deep struct {
 	mu sync.Mutex
+	m  map[string]map[call]time.Time
 }
 
-func newDeep() *deep {
-	return &deep{}
+// call is a kind of call that runs make.
+type call struct {
+	service, route string
 }
 
-// started notes that a run of a route began.
-func (d *deep) started(string) {}
+func newDeep() *deep {
+	return &deep{m: map[string]map[call]time.Time{}}
+}
 
-// called notes that the backend server made a call.
-func (d *deep) called(_, _ string) {}
+// called notes that a run of a route made a call.
+func (d *deep) called(by string, c call, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.m[by] == nil {
+		d.m[by] = map[call]time.Time{}
+	}
+	d.m[by][c] = now
+}
 
 // level returns the strictest level among the calls that runs of a route make.
-func (d *deep) level(string, *route.Table) action.Level {
-	return action.Open
+func (d *deep) level(by string, t *route.Table, now time.Time) action.Level {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	level := action.Open
+	for c, at := range d.m[by] {
+		if now.Sub(at) > deepKeep {
+			delete(d.m[by], c)
+			continue
+		}
+		level = min(level, t.Level(c.service, c.route))
+	}
+	return level
+}
+
+// parentID returns the ID of the request whose run made the request with the
+// given ID, empty when the ID does not say. Backend servers put the ID of the
+// run before that of the call, with a dot between.
+func parentID(id string) string {
+	i := strings.LastIndexByte(id, '.')
+	if i < 0 {
+		return ""
+	}
+	return id[:i]
+}
+
+// inherit gives a call of the backend server the importance of the run that
+// made it, and its deadline. A call whose run is not known is treated as a
+// caller's.
+func (f *Front) inherit(r *request) {
+	run := f.runs.find(parentID(r.id))
+	if run == nil {
+		return
+	}
+	r.own = true
+	r.key = run.key
+	if run.deadline.Before(r.deadline) {
+		r.deadline = run.deadline
+	}
+	f.deep.called(run.route.Name, call{service: r.service, route: r.route.Name}, r.arrived)
 }
--- a/front/entry.go
+++ b/front/entry.go
@@ -43,7 +43,6 @@
 		f.refuse(w, r, *bad)
 		return
 	}
-	f.deep.called(r.route.Name, r.service)
 	ans, fin := f.forward(hr.Context(), r)
 	if ans == nil {
 		f.refuse(w, r, fin)
@@ -99,8 +98,8 @@
 	}
 	r.service = f.parts.choose(r.route)
 	r.origin = f.origin()
-	r.own = sameHost(hr.RemoteAddr, f.App)
 	r.key = keyOf(r.route.Rank, r.id)
+	f.inherit(r)
 	r.header = forwardable(hr.Header)
 	r.print = fingerprint(r)
 	return nil
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -44,7 +44,7 @@
 	ans := f.admitAndRun(ctx, r)
 	s := f.Gate.Stats()
 	ans.load = load{running: s.Inflight, queued: s.Queued, limit: s.Limit}
-	ans.level = min(f.Gate.Level(), f.deep.level(r.route.Name, f.Table))
+	ans.level = min(f.Gate.Level(), f.deep.level(r.route.Name, f.Table, f.Now()))
 	f.logRun(r, ans)
 	return ans
 }
@@ -80,7 +80,6 @@
 		pass.Leave(admit.Lost)
 		return refusal(why)
 	}
-	f.deep.started(r.route.Name)
 	began := f.Now()
 	ans, verdict := f.callServer(ctx, r)
 	pass.Leave(verdict)
@@ -105,8 +104,8 @@
 // callServer sends a request to the backend server and judges its answer.
 func (f *Front) callServer(ctx context.Context, r *request) (*answer, admit.Verdict) {
 	s := f.Server()
-	run := f.runs.begin(r, f.Now())
-	defer f.runs.end(run)
+	f.runs.begin(r)
+	defer f.runs.end(r)
 	resp, err := f.Backend.Do(ctx, f.App, f.serverRequest(r, s))
 	if err != nil {
 		return f.serverFailure(ctx, r, s, err)
--- a/front/request.go
+++ b/front/request.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -111,9 +110,3 @@
 func fingerprint(r *request) poison.Print {
 	return poison.PrintOf(r.service, r.origin+" "+r.method+" "+r.target, action.Digest(r.body))
 }
-
-// sameHost reports whether a connection comes from the instance itself.
-func sameHost(remote string, app netip.AddrPort) bool {
-	a, err := netip.ParseAddrPort(remote)
-	return err == nil && a.Addr().Unmap() == app.Addr()
-}
--- a/front/runs.go
+++ b/front/runs.go
@@ -2,39 +2,40 @@
 
 import (
 	"sync"
-	"time"
 
 	"sycamorespread.dev/poison"
 )
 
-// runs holds the requests at the backend server.
+// runs holds the requests at the backend server by ID.
 type runs struct {
 	mu sync.Mutex
-	m  map[*inRun]struct{}
+	m  map[string]*request
 }
 
-// inRun is one request at the backend server.
-type inRun struct {
-	r     *request
-	began time.Time
+func newRuns() *runs {
+	return &runs{m: map[string]*request{}}
 }
 
-func newRuns() *runs {
-	return &runs{m: map[*inRun]struct{}{}}
+func (s *runs) begin(r *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m[r.id] = r
 }
 
-func (s *runs) begin(r *request, now time.Time) *inRun {
+func (s *runs) end(r *request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	run := &inRun{r: r, began: now}
-	s.m[run] = struct{}{}
-	return run
+	if s.m[r.id] == r {
+		delete(s.m, r.id)
+	}
 }
 
-func (s *runs) end(run *inRun) {
+// find returns the request with the ID, nil when it is not at the backend
+// server.
+func (s *runs) find(id string) *request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.m, run)
+	return s.m[id]
 }
 
 // requests returns the fingerprints of all requests at the backend server.
@@ -42,8 +43,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]poison.Request, 0, len(s.m))
-	for run := range s.m {
-		list = append(list, poison.Request{Service: run.r.service, Method: run.r.route.Name, Print: run.r.print})
+	for _, r := range s.m {
+		list = append(list, poison.Request{Service: r.service, Method: r.route.Name, Print: r.print})
 	}
 	return list
 }
--- a/store/store.go
+++ b/store/store.go
@@ -27,10 +27,12 @@
 const (
 	// callTimeout bounds one call unless the context ends it earlier.
 	callTimeout = 2 * time.Second
-	// watchWait is how long a watch waits for a change.
-	watchWait = 20 * time.Second
+	// watchWait is how long a watch waits for a change; a watch that was cut
+	// without a word is noticed after watchWait and watchGrace, within the 2 s and
+	// the stretch in which a new configuration must be in force.
+	watchWait = 2 * time.Second
 	// watchGrace is how long after watchWait the answer of a watch may come.
-	watchGrace = 2 * time.Second
+	watchGrace = time.Second
 	// maxPages bounds a list, in pages.
 	maxPages = 50
 	// burstTime is the time for which the rate of calls may be used at once.
--- a/sycd/main.go
+++ b/sycd/main.go
@@ -73,11 +73,15 @@
 	if err != nil {
 		return err
 	}
-	return runBoth(ctx, d, out)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	return runAll(ctx, d, out, args[0], hangups)
 }
 
-// runBoth runs the daemon, and the writer of its log until the daemon ended.
-func runBoth(ctx context.Context, d *daemon.Daemon, out *logs.Writer) error {
+// runAll runs the daemon, and until it ended the writer of its log and the
+// reload of its settings.
+func runAll(ctx context.Context, d *daemon.Daemon, out *logs.Writer, file string, hangups <-chan os.Signal) error {
 	var g errgroup.Group
 	writing, stop := context.WithCancel(context.Background())
 	g.Go(func() error {
@@ -85,6 +89,7 @@
 		return d.Run(ctx)
 	})
 	g.Go(func() error { return out.Run(writing) })
+	g.Go(func() error { return d.ReloadLoop(writing, file, hangups) })
 	return g.Wait()
 }
 
