front: silent peers are probed, retries are kept for the most important keys

A peer with open requests that says nothing for 150 ms is probed over UDP; unanswered, what may be sent again is taken back. The retry budget follows the ratio and slack of the settings and goes to the same keys when it does not suffice.

--- a/allow/allow_test.go
+++ b/allow/allow_test.go
@@ -72,14 +72,14 @@
 
 func TestBudgetIsAShareOfSuccesses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := allow.NewBudget()
+		b := allow.NewBudget(allow.DefaultRatio, allow.DefaultSaved)
 		const initial = 20
 		first, retries := 0, 0
 		for range rapid.IntRange(0, 400).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "ok") {
 				b.Earn()
 				first++
-			} else if b.Spend() {
+			} else if b.Spend(0) {
 				retries++
 			}
 		}
--- a/config/config.go
+++ b/config/config.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,8 +19,12 @@
 	"gopkg.in/ini.v1"
 
 	"sycamorespread.dev/admit"
+	"sycamorespread.dev/allow"
 )
 
+// maxSlack bounds the retries beyond the ratio.
+const maxSlack = 100_000
+
 // Config holds the settings of one daemon.
 type Config struct {
 	// ID names the instance; it is unique in the fleet.
@@ -64,6 +69,10 @@
 
 	// Mode selects full control or one of the baselines of the bench.
 	Mode admit.Mode
+	// RetryRatio is the number of retries for each request that all daemons together may send.
+	RetryRatio float64
+	// RetrySlack is the number of retries beyond it, for each service, 0 for the default of each daemon.
+	RetrySlack float64
 	// TicketValid is how long a ticket may be used.
 	TicketValid time.Duration
 	// LeaveWait is the least time between the announcement of a stop and the end of service.
@@ -161,6 +170,8 @@
 	c.WarmUp = r.duration("server", "warm_up", 0, 0, 10*time.Minute)
 	c.PolicyFile = r.text("policy", "file", optional)
 	c.Mode = r.mode("control", "mode")
+	c.RetryRatio = r.amount("control", "retry_ratio", allow.DefaultRatio/allow.RatioUsed, 1)
+	c.RetrySlack = r.amount("control", "retry_slack", 0, maxSlack)
 	c.TicketValid = r.duration("control", "ticket_valid", time.Minute, time.Second, 10*time.Minute)
 	if r.err == nil && c.Connections < c.Slots {
 		r.fail("server", "connections", "%d is below slots, %d", c.Connections, c.Slots)
@@ -288,6 +299,19 @@
 	return n
 }
 
+// amount reads a number from 0 to most.
+func (r *reader) amount(section, key string, or, most float64) float64 {
+	v := r.text(section, key, optional)
+	if v == "" {
+		return or
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || f < 0 || f > most {
+		r.fail(section, key, "%q is not a number from 0 to %g", v, most)
+	}
+	return f
+}
+
 func (r *reader) mode(section, key string) admit.Mode {
 	v := r.text(section, key, optional)
 	for _, m := range []admit.Mode{admit.Full, admit.Static, admit.None} {
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -118,7 +118,7 @@
 	if r.Reason == sycapb.Reason_REASON_UNREACHABLE || r.Reason == sycapb.Reason_REASON_LEAVING {
 		return true
 	}
-	if !budget.Spend() {
+	if !budget.Spend(o.key) {
 		d.stats.RetryDenied()
 		return false
 	}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,6 +41,8 @@
 	// slotShare is the part of the slots that is used; backend servers slow down when
 	// they are nearly full, and probes and new connections take slots too.
 	slotShare = 0.95
+	// askEvery is the time between two health checks of a server that said nothing yet.
+	askEvery = 250 * time.Millisecond
 	// sweepEvery is the time between two rounds that close idle connections.
 	sweepEvery = 2 * time.Second
 	// announceAfter is how long a stopping daemon waits until it announces that it takes no new work,
@@ -86,6 +89,7 @@
 		Policy:   d.holder.Policy,
 		Server:   d.keeper.Server,
 		Lost:     d.keeper.Lost,
+		Reach:    d.node.Reach,
 		Stopping: d.leaving.Load,
 		Table:    d.table,
 		Gate:     d.gate,
@@ -155,6 +159,8 @@
 	for _, s := range d.fronts {
 		g.Go(func() error { return serveWeb(s.Server, s.l) })
 	}
+	g.Go(func() error { return d.front.WatchPeers(ctx) })
+	g.Go(func() error { return d.probeServer(ctx) })
 	g.Go(func() error {
 		for sleep(ctx, sweepEvery) {
 			d.hops.Sweep()
@@ -197,6 +203,43 @@
 	d.log.WithFields(logrus.Fields{"inflight": d.front.Inflight(), "ms": time.Since(began).Milliseconds()}).Info("left")
 }
 
+// probeServer asks the backend server what it is until it has said so itself,
+// so that a daemon that was started again need not wait for a heartbeat.
+func (d *Daemon) probeServer(ctx context.Context) error {
+	for d.keeper.Server().State == life.Unknown {
+		if p := d.holder.Policy(); p != nil && p.Table != nil {
+			d.askServer(ctx, p.Table.Service(d.cfg.Service))
+		}
+		if !sleep(ctx, askEvery) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// askServer makes one health check.
+func (d *Daemon) askServer(ctx context.Context, s *policy.Service) {
+	if s == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthWait)
+	defer cancel()
+	resp, err := d.app.Do(ctx, d.cfg.Server, &httpc.Request{Method: http.MethodGet, Target: s.Health, Host: d.cfg.Server.String(), Buffer: maxHeader})
+	if err != nil {
+		d.log.WithField("err", err).Info("backend server not asked")
+		return
+	}
+	defer resp.Close()
+	load := strings.Split(resp.Header.Get(d.links.Headers.Load), ",")
+	slots, err := strconv.Atoi(load[len(load)-1])
+	id := resp.Header.Get(d.links.Headers.Instance)
+	if resp.Status != http.StatusOK || id == "" || err != nil || slots < 1 {
+		d.log.WithFields(logrus.Fields{"status": resp.Status, "instance": id}).Info("backend server does not say what it is")
+		return
+	}
+	d.keeper.Found(id, d.cfg.Service, slots)
+}
+
 // serverChanged takes a change of the backend server's state and announces it.
 func (d *Daemon) serverChanged(s life.Server) {
 	up := s.State == life.Ready
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -107,10 +107,21 @@
 		case <-d.routesStale:
 		}
 		d.table.Update(d.targets())
+		d.shareSlack()
 		sleep(ctx, routeGap)
 	}
 }
 
+// shareSlack gives each budget this daemon's part of the retries that all
+// daemons together may send beyond the ratio.
+func (d *Daemon) shareSlack() {
+	if d.cfg.RetrySlack == 0 {
+		return
+	}
+	live := d.node.Count(func(e *sycapb.MemberEntry) bool { return e.State < sycapb.MemberState_MEMBER_STATE_DEAD })
+	d.budgets.Save(max(1, d.cfg.RetrySlack/float64(live+1)))
+}
+
 // targets returns the members of this region that may take work, this daemon
 // included. Those that take no new work can still be asked by the tickets of
 // which they are the home.
--- a/front/answer.go
+++ b/front/answer.go
@@ -35,6 +35,7 @@
 	whyRefused    = "refused"    // the backend server refused the request
 	whyLate       = "late"       // too little time is left
 	whyDial       = "dial"       // the instance cannot be reached
+	whySilent     = "silent"     // the instance neither answered nor could be reached
 	whyLost       = "lost"       // the answer did not come whole
 	whyTimeout    = "timeout"    // no answer came in time
 	whyGone       = "gone"       // the caller left
--- /dev/null
+++ b/front/contact.go
@@ -0,0 +1,193 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// silentAfter is how long a peer with open requests may say nothing before it is probed.
+	silentAfter = 150 * time.Millisecond
+	// contactEvery is the time between two looks for silent peers.
+	contactEvery = 50 * time.Millisecond
+	// returnEvery is the time between two probes of a silent peer.
+	returnEvery = 250 * time.Millisecond
+)
+
+// errSilent cancels the requests that may be sent again when their peer
+// neither answers nor can be reached.
+var errSilent = errors.New("the peer is silent")
+
+// contacts follows whether the peers that have requests of this Front still
+// say anything. A link can be cut without a word: requests on open connections
+// then wait for answers that never come. A peer that says nothing for
+// silentAfter is probed; when it does not answer, what may be sent again is
+// taken back from it, and it gets nothing until a probe reaches it.
+type contacts struct {
+	mu sync.Mutex
+	m  map[string]*contact
+}
+
+// contact is what is known of one peer.
+type contact struct {
+	id    string
+	heard time.Time
+	open  map[*sent]struct{}
+	// probing tells that a probe is on its way; silent that the last one was not answered.
+	probing, silent bool
+	probed          time.Time
+}
+
+// sent is one request that waits for its answer.
+type sent struct {
+	began  time.Time
+	cancel context.CancelCauseFunc
+	// keep tells that the request must not be sent again and stays.
+	keep bool
+}
+
+func newContacts() *contacts {
+	return &contacts{m: map[string]*contact{}}
+}
+
+// of returns the contact of a peer; c.mu is held.
+func (c *contacts) of(id string) *contact {
+	p := c.m[id]
+	if p == nil {
+		p = &contact{id: id, open: map[*sent]struct{}{}}
+		c.m[id] = p
+	}
+	return p
+}
+
+// begin notes a request to a peer.
+func (c *contacts) begin(id string, s *sent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).open[s] = struct{}{}
+}
+
+// end notes the end of a request, and whether the peer said anything.
+func (c *contacts) end(id string, s *sent, heard bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.of(id)
+	delete(p.open, s)
+	if heard {
+		p.heard = now
+	}
+}
+
+// due returns the peers to probe now.
+func (c *contacts) due(now time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id, p := range c.m {
+		if p.probing || !p.wantsProbe(now) {
+			continue
+		}
+		p.probing = true
+		p.probed = now
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (p *contact) wantsProbe(now time.Time) bool {
+	if p.silent {
+		return now.Sub(p.probed) >= returnEvery
+	}
+	if now.Sub(p.heard) < silentAfter {
+		return false
+	}
+	for s := range p.open {
+		if now.Sub(s.began) >= silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// probed takes the result of a probe that began at the given time and reports
+// whether the peer's silence changed.
+func (c *contacts) result(id string, reached bool, began, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.of(id)
+	p.probing = false
+	if reached || p.heard.After(began) {
+		p.heard = now
+		changed := p.silent
+		p.silent = false
+		return changed
+	}
+	for s := range p.open {
+		if !s.keep && s.began.Before(began) {
+			s.cancel(errSilent)
+		}
+	}
+	changed := !p.silent
+	p.silent = true
+	return changed
+}
+
+// lose notes that a peer could not be reached, and reports whether that is
+// news.
+func (c *contacts) lose(id string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.of(id)
+	if p.silent {
+		return false
+	}
+	p.silent = true
+	p.probed = now
+	return true
+}
+
+// forget drops the peers that are not known any more.
+func (c *contacts) forget(known func(id string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, p := range c.m {
+		if len(p.open) == 0 && !p.probing && !known(id) {
+			delete(c.m, id)
+		}
+	}
+}
+
+// WatchPeers probes silent peers until ctx ends.
+func (f *Front) WatchPeers(ctx context.Context) error {
+	t := time.NewTicker(contactEvery)
+	defer t.Stop()
+	var g errgroup.Group
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case <-t.C:
+		}
+		for _, id := range f.contacts.due(f.Now()) {
+			g.Go(func() error {
+				f.probe(ctx, id)
+				return nil
+			})
+		}
+		f.contacts.forget(f.Table.Known)
+	}
+}
+
+func (f *Front) probe(ctx context.Context, id string) {
+	began := f.Now()
+	reached := f.Reach(ctx, id)
+	if ctx.Err() != nil || !f.contacts.result(id, reached, began, f.Now()) {
+		return
+	}
+	f.Table.SetSilent(id, !reached)
+	f.Log.WithField("peer", id).WithField("reached", reached).WithField("probe_ms", millis(f.Now().Sub(began))).Warn("peer contact")
+}
--- a/front/deep.go
+++ b/front/deep.go
@@ -74,6 +74,7 @@
 	}
 	r.own = true
 	r.key = run.key
+	r.again = run.again
 	if run.deadline.Before(r.deadline) {
 		r.deadline = run.deadline
 	}
--- a/front/entry.go
+++ b/front/entry.go
@@ -109,7 +109,11 @@
 // left to try.
 func (f *Front) forward(ctx context.Context, r *request) (*answer, final) {
 	budget := f.Budgets.Of(r.service)
-	budget.Earn()
+	if r.again {
+		budget.Charge()
+	} else {
+		budget.Earn()
+	}
 	var avoid []string
 	sends := 0
 	last := refusal(whyNoServer)
@@ -121,6 +125,7 @@
 		if err != nil {
 			return nil, f.noTarget(r, err, sends, last)
 		}
+		r.again = r.again || sends > 0
 		last = f.send(ctx, r, try.Target)
 		f.report(try, last)
 		r.log.add(try.Target.ID, last)
@@ -145,7 +150,7 @@
 	case whyDial, whyLost, whyDown, whyMoved, whyLeaving:
 		try.Fail(true)
 		return
-	case whyGone, whyTimeout:
+	case whyGone, whyTimeout, whySilent:
 		try.Fail(false)
 		return
 	}
@@ -165,9 +170,9 @@
 	case whyShed:
 		return sends == 0
 	case whyRefused:
-		return budget.Spend()
-	case whyLost, whyCrash:
-		return r.route.Repeatable && sends < r.route.Attempts && budget.Spend()
+		return budget.Spend(r.key)
+	case whyLost, whyCrash, whySilent:
+		return r.route.Repeatable && sends < r.route.Attempts && budget.Spend(r.key)
 	}
 	return false
 }
--- a/front/front.go
+++ b/front/front.go
@@ -19,6 +19,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -72,6 +73,8 @@
 	Server func() life.Server
 	// Lost is called when the server with the ID refuses connections or is another one.
 	Lost func(instance string)
+	// Reach reports whether the instance with the ID answers a probe.
+	Reach func(ctx context.Context, id string) bool
 	// Stopping tells that this daemon is about to end.
 	Stopping func() bool
 	// Table chooses instances.
@@ -97,11 +100,12 @@
 	parts    *parts
 	deep     *deep
 	runs     *runs
+	contacts *contacts
 }
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns()}
+	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns(), contacts: newContacts()}
 }
 
 // Inflight returns the number of requests that are being served.
--- a/front/hop.go
+++ b/front/hop.go
@@ -28,6 +28,7 @@
 	// hopLeft is the time left, hopTarget the time within which the answer has its value, in microseconds.
 	hopLeft   = hopPrefix + "Left"
 	hopRepeat = hopPrefix + "Repeat"
+	hopAgain  = hopPrefix + "Again"
 
 	hopOutcome  = hopPrefix + "Outcome"
 	hopWhy      = hopPrefix + "Why"
@@ -51,21 +52,43 @@
 		return f.run(ctx, r)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(hopGrace))
-	defer cancel()
-	req := r.hop(f.Now())
-	resp, err := f.Peers.Do(ctx, to.Addr, req)
+	ctx, silence := context.WithCancelCause(ctx)
+	end := func() {
+		silence(nil)
+		cancel()
+	}
+	now := f.Now()
+	s := &sent{began: now, cancel: silence, keep: !r.route.Repeatable}
+	f.contacts.begin(to.ID, s)
+	resp, err := f.Peers.Do(ctx, to.Addr, r.hop(now))
+	f.contacts.end(to.ID, s, err == nil, f.Now())
 	if err != nil {
-		return hopFailure(ctx, err)
+		defer end()
+		return f.hopFailure(ctx, to.ID, err)
+	}
+	ans := decodeHop(resp)
+	ans.close = func() {
+		resp.Close()
+		end()
 	}
-	return decodeHop(resp)
+	return ans
 }
 
-func hopFailure(ctx context.Context, err error) *answer {
+func (f *Front) hopFailure(ctx context.Context, id string, err error) *answer {
 	var dial *httpc.DialError
-	switch {
-	case errors.As(err, &dial) && ctx.Err() == nil:
+	unreached := errors.As(err, &dial)
+	silent := errors.Is(context.Cause(ctx), errSilent)
+	if unreached && (ctx.Err() == nil || silent) {
+		if f.contacts.lose(id, f.Now()) {
+			f.Table.SetSilent(id, true)
+			f.Log.WithField("peer", id).WithField("err", err).Warn("peer unreachable")
+		}
 		return refusal(whyDial)
-	case errors.As(err, &dial):
+	}
+	switch {
+	case silent:
+		return lost(whySilent)
+	case unreached:
 		return refusal(whyGone)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return lost(whyTimeout)
@@ -99,6 +122,9 @@
 	} else {
 		h.Set(hopRepeat, "1")
 	}
+	if r.again {
+		h.Set(hopAgain, "1")
+	}
 	return req
 }
 
@@ -151,6 +177,7 @@
 			service:  r.Header.Get(hopService),
 			origin:   r.Header.Get(hopOrigin),
 			key:      action.Key(key),
+			again:    r.Header.Get(hopAgain) != "",
 			print:    poison.Print(print),
 			arrived:  now,
 			deadline: now.Add(time.Duration(left) * time.Microsecond),
--- a/front/request.go
+++ b/front/request.go
@@ -36,6 +36,8 @@
 	key     action.Key
 	// own tells that the backend server beside this Front sent it.
 	own bool
+	// again tells that the request, or the run that made it, is sent again.
+	again bool
 	// body is the whole body, unless stream is set.
 	body   []byte
 	stream io.Reader
--- a/life/life.go
+++ b/life/life.go
@@ -116,6 +116,19 @@
 	return true
 }
 
+// Found takes the answer of a server that was asked what it is. It counts only
+// until the server has said something of itself.
+func (k *Keeper) Found(id, service string, slots int) {
+	k.update(func(s *Server) bool {
+		if s.State != Unknown {
+			return false
+		}
+		s.Report = Report{Instance: id, Addr: k.addr, Service: service, Slots: slots}
+		s.State = Ready
+		return true
+	})
+}
+
 // Leave takes the word that a server leaves. A zero born means that it was
 // not said.
 func (k *Keeper) Leave(id string, born time.Time) {
--- a/member/probe.go
+++ b/member/probe.go
@@ -14,6 +14,9 @@
 const (
 	// ackWait is how long a direct probe waits for its answer.
 	ackWait = 300 * time.Millisecond
+	// reachTries and reachWait bound the time in which a member must show that it can be reached.
+	reachTries = 2
+	reachWait  = 120 * time.Millisecond
 	// indirectWait is how long the probes through others wait.
 	indirectWait = 400 * time.Millisecond
 	// indirectFan is the number of members asked to probe.
@@ -220,3 +223,20 @@
 		n.send(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_PING})
 	}
 }
+
+// Reach reports whether the member with the ID answers one of reachTries
+// packets sent straight to it.
+func (n *Node) Reach(ctx context.Context, id string) bool {
+	n.mu.Lock()
+	r, ok := n.rows[id]
+	n.mu.Unlock()
+	if !ok {
+		return false
+	}
+	for range reachTries {
+		if n.ping(ctx, r.Addr, reachWait) {
+			return true
+		}
+	}
+	return false
+}
--- a/route/route.go
+++ b/route/route.go
@@ -107,6 +107,8 @@
 	levels   map[string]note
 	avoid    time.Time
 	failures int
+	// silent tells that the target cannot be reached from here.
+	silent bool
 }
 
 // Table holds the candidates of all services. It is safe for concurrent use.
@@ -137,7 +139,8 @@
 	for _, target := range targets {
 		s, ok := t.byID[target.ID]
 		if !ok || s.target.Incarnation != target.Incarnation {
-			s = &state{levels: map[string]note{}}
+			silent := ok && s.silent
+			s = &state{levels: map[string]note{}, silent: silent}
 		}
 		s.target = target
 		byID[target.ID] = s
@@ -201,6 +204,24 @@
 	return t.try(t.choose(open, now), req.Method), nil
 }
 
+// SetSilent leaves a target out while it cannot be reached from here.
+func (t *Table) SetSilent(id string, silent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.byID[id]; ok {
+		s.silent = silent
+		s.avoid = time.Time{}
+	}
+}
+
+// Known reports whether there is a target with the ID.
+func (t *Table) Known(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.byID[id]
+	return ok
+}
+
 // Direct returns a try at the target with the given ID.
 func (t *Table) Direct(id, method string) (*Try, error) {
 	t.mu.Lock()
@@ -217,7 +238,7 @@
 func (t *Table) reachable(req Request, now time.Time) []*state {
 	var up, rest []*state
 	for _, s := range t.services[req.Service] {
-		if slices.Contains(req.Avoid, s.target.ID) {
+		if s.silent || slices.Contains(req.Avoid, s.target.ID) {
 			continue
 		}
 		if now.Before(s.avoid) {
