front: levels of all routes ride on every answer; tests of misleading answers

Cause: an entry that hears the level of a route only on answers of that route lets it fade while it sheds; the queue at the deep service was aimed at 40 ms, of which a payment pays eight; refusals of a server with room cut its limit. TestExtraBytesReachNobody failed: with one instance the retry after a late answer had nowhere to go.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -59,8 +59,9 @@
 )
 
 const (
-	// waitTarget is the queueing time that the level aims for.
-	waitTarget = 40 * time.Millisecond
+	// waitTarget is the queueing time that the level aims for; an action waits as
+	// often as it calls the service, up to eight times in our users' graphs.
+	waitTarget = 10 * time.Millisecond
 	// waitMax is the queueing time that the length of the queue allows.
 	waitMax = 250 * time.Millisecond
 	// minQueue is the smallest bound on the queue, in calls.
@@ -71,6 +72,8 @@
 	lateShare = 0.7
 	// refusalCut is the factor on the limit at a refusal by the backend server.
 	refusalCut = 0.9
+	// fullShare is the part of the limit from which a refusal counts as one for want of room.
+	fullShare = 0.8
 	// coldShare is the part of the slots that a cold backend server starts with.
 	coldShare = 0.2
 )
@@ -292,7 +295,9 @@
 	slots := float64(g.cfg.Slots)
 	switch v {
 	case Refused:
-		if now.Sub(g.refusals) > g.meanRun {
+		// A backend server that refuses while it has room is faulty, not full.
+		full := float64(g.inflight+1) >= fullShare*float64(g.limit(now))
+		if full && now.Sub(g.refusals) > g.meanRun {
 			g.cap = max(1, g.cap*refusalCut)
 			g.refusals = now
 		}
--- a/admit/control.go
+++ b/admit/control.go
@@ -19,8 +19,12 @@
 	demandDecay = 0.95
 	// drainTime is how soon a queue above its target should be back at it.
 	drainTime = 200 * time.Millisecond
-	// raiseShare is the part of the capacity by which the level rises in a tick.
-	raiseShare = 0.1
+	// raiseShare is the part of the capacity by which the level rises in a tick while all is in use;
+	// idleShare is added to it, by the square of the part that is idle.
+	raiseShare = 0.02
+	idleShare  = 0.4
+	// fitShare is the part of the capacity that the demand may take when the level falls.
+	fitShare = 0.93
 )
 
 // control moves the level. It keeps the demand seen in each bucket of keys.
@@ -110,11 +114,11 @@
 	over := float64(g.queue.len()) - target
 	switch {
 	case over > 0 || c.evicted > 0:
-		c.level = min(c.level, c.fit(capacity, target, &g.queue))
+		c.level = min(c.level, c.fit(fitShare*capacity, target, &g.queue))
 		g.flush()
 	case over < -target/2 && c.level < action.Open:
 		idle := float64(max(0, g.limit(now)-g.inflight)) / float64(g.limit(now))
-		c.level = c.raise(capacity * (raiseShare + idle*raiseShare))
+		c.level = c.raise(capacity * (raiseShare + idle*idle*idleShare))
 	}
 	c.evicted = 0
 }
--- a/allow/budget.go
+++ b/allow/budget.go
@@ -14,9 +14,9 @@
 	// RatioUsed is the part of the fleet's ratio that is spent; the rest covers what is in flight when a window ends.
 	RatioUsed = 0.85
 	// levelStep is the part of all keys by which the level opens when the budget is full.
-	levelStep = 0.02
+	levelStep = 0.005
 	// levelCut is the factor on the level when nothing is left.
-	levelCut = 0.95
+	levelCut = 0.9
 )
 
 // Budget limits the retries toward one service to a part of the attempts that
--- a/front/answer.go
+++ b/front/answer.go
@@ -56,8 +56,9 @@
 	length int64
 	close  func()
 
-	level action.Level
-	load  load
+	// levels holds the level of each route that the instance serves.
+	levels map[string]action.Level
+	load   load
 	// waited is the time in the queue of the instance, ran the time at the backend server.
 	waited, ran time.Duration
 	// instance is the backend server that answered.
@@ -70,11 +71,11 @@
 }
 
 func refusal(why string) *answer {
-	return &answer{outcome: notRun, why: why, level: action.Open}
+	return &answer{outcome: notRun, why: why}
 }
 
 func lost(why string) *answer {
-	return &answer{outcome: unknown, why: why, level: action.Open}
+	return &answer{outcome: unknown, why: why}
 }
 
 // done frees the connection of an answer.
--- a/front/deep.go
+++ b/front/deep.go
@@ -9,14 +9,20 @@
 	"sycamorespread.dev/route"
 )
 
-// deepKeep is how long a call counts as one that a route's runs make.
-const deepKeep = 2 * time.Second
+const (
+	// deepKeep is how long a call counts as one that a route's runs make.
+	deepKeep = 2 * time.Second
+	// servedKeep is how long the level of a route is told after its last run.
+	servedKeep = 10 * time.Second
+)
 
 // deep remembers which calls the runs of each route make, so that the levels
 // of deeper services reach those who send to that route.
 type deep struct {
 	mu sync.Mutex
 	m  map[string]map[call]time.Time
+	// served holds when each route was last run here.
+	served map[string]time.Time
 }
 
 // call is a kind of call that runs make.
@@ -25,7 +31,7 @@
 }
 
 func newDeep() *deep {
-	return &deep{m: map[string]map[call]time.Time{}}
+	return &deep{m: map[string]map[call]time.Time{}, served: map[string]time.Time{}}
 }
 
 // called notes that a run of a route made a call.
@@ -38,10 +44,32 @@
 	d.m[by][c] = now
 }
 
-// level returns the strictest level among the calls that runs of a route make.
-func (d *deep) level(by string, t *route.Table, now time.Time) action.Level {
+// runs notes that a run of a route began.
+func (d *deep) runs(by string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.served[by] = now
+}
+
+// levels returns the level of each route that was run here of late: own, or
+// the strictest among the calls that its runs make.
+func (d *deep) levels(own action.Level, t *route.Table, now time.Time) map[string]action.Level {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	list := make(map[string]action.Level, len(d.served))
+	for by, at := range d.served {
+		if now.Sub(at) > servedKeep {
+			delete(d.served, by)
+			continue
+		}
+		list[by] = min(own, d.level(by, t, now))
+	}
+	return list
+}
+
+// level returns the strictest level among the calls that runs of a route
+// make; d.mu is held.
+func (d *deep) level(by string, t *route.Table, now time.Time) action.Level {
 	level := action.Open
 	for c, at := range d.m[by] {
 		if now.Sub(at) > deepKeep {
--- a/front/entry.go
+++ b/front/entry.go
@@ -16,7 +16,7 @@
 
 const (
 	// offersMost bounds the instances to which one request is offered.
-	offersMost = 5
+	offersMost = 8
 	// retryLeast is the time that must be left for another send.
 	retryLeast = 30 * time.Millisecond
 	// afterNoPolicy is the pause that a caller is advised when no policy is known.
@@ -121,7 +121,11 @@
 		if f.Book.State(r.print) == poison.Quarantined {
 			return nil, final{status: http.StatusServiceUnavailable, why: whyQuarantine}
 		}
-		try, err := f.Table.Pick(route.Request{Service: r.service, Method: r.route.Name, Key: r.key, Avoid: avoid, Invested: r.own})
+		try, err := f.pick(r, avoid)
+		if err != nil && last.why == whyLost {
+			// The only instance may answer on another connection.
+			try, err = f.pick(r, nil)
+		}
 		if err != nil {
 			return nil, f.noTarget(r, err, sends, last)
 		}
@@ -136,7 +140,10 @@
 		if last.outcome == unknown {
 			sends++
 		}
-		avoid = append(avoid, try.Target.ID)
+		if last.why != whyRefused {
+			// A server that refuses a part of its requests may take the next one.
+			avoid = append(avoid, try.Target.ID)
+		}
 		if ctx.Err() != nil || !f.mayResend(r, last, budget, sends) {
 			break
 		}
@@ -144,6 +151,10 @@
 	return nil, f.giveUp(r, last, sends)
 }
 
+func (f *Front) pick(r *request, avoid []string) (*route.Try, error) {
+	return f.Table.Pick(route.Request{Service: r.service, Method: r.route.Name, Key: r.key, Avoid: avoid, Invested: r.own})
+}
+
 // report tells the table how a send ended.
 func (f *Front) report(try *route.Try, a *answer) {
 	switch a.why {
@@ -155,7 +166,7 @@
 		return
 	}
 	l := &sycapb.Load{Inflight: uint32(a.load.running), Queued: uint32(a.load.queued), Limit: uint32(a.load.limit)}
-	try.Done(route.Report{Load: l, Level: a.level})
+	try.Done(route.Report{Load: l, Levels: a.levels})
 }
 
 // mayResend decides on another send after the answer a.
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,409 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/policy"
+)
+
+func TestRequestReachesTheServerUnchanged(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	got := entry.ask("POST", "/view//a%2Fb?x=1&y=%20", "r1", "body")
+	if got.err != nil || got.status != 200 || got.body != "run of /view//a/b body" {
+		t.Fatalf("answer %+v", got)
+	}
+	if got.header.Get(names.RequestID) != "r1" || got.header.Get(names.Signature) != "s" || got.header.Get("Syca-Outcome") != "" {
+		t.Errorf("header %v", got.header)
+	}
+	saw := far.requests()[0]
+	if saw.RequestURI != "/view//a%2Fb?x=1&y=%20" || saw.Host != "h.example" {
+		t.Errorf("target %q of host %q", saw.RequestURI, saw.Host)
+	}
+	h := saw.Header
+	if h.Get(names.Origin) != "dues" || h.Get(names.Expected) != "s-i1" || h.Get(names.RequestID) != "r1" {
+		t.Errorf("header at the server %v", h)
+	}
+	var left int
+	if _, err := fmt.Sscan(h.Get(names.TimeLeft), &left); err != nil || left < 1 || left > 1000 {
+		t.Errorf("time left %q, the route allows 1000 ms", h.Get(names.TimeLeft))
+	}
+}
+
+func TestOwnAnswers(t *testing.T) {
+	r := newRig(t, view)
+	entry := r.add("dues")
+	if got := entry.ask("GET", "/none/x", "r1", ""); got.status != 404 {
+		t.Errorf("no route: %+v", got)
+	}
+	if got := entry.ask("GET", "/view/x", "", ""); got.status != 400 {
+		t.Errorf("no ID: %+v", got)
+	}
+	got := entry.ask("GET", "/view/x", "r2", "")
+	if got.status != 503 || got.header.Get("Retry-After") == "" || got.header.Get(names.RequestID) != "r2" {
+		t.Errorf("no instance: %+v", got)
+	}
+	if got := entry.ask("POST", "/view/x", "r3", strings.Repeat("x", 2<<20)); got.status != 413 {
+		t.Errorf("large body: %d %v", got.status, got.err)
+	}
+	r.mu.Lock()
+	r.table = nil
+	r.mu.Unlock()
+	got = entry.ask("GET", "/view/x", "r4", "")
+	if got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("no policy: %+v", got)
+	}
+}
+
+// Answers that a faulty server may give in place of a whole one. A request
+// that may be repeated is served by another instance, one that must not gets
+// 502, and runs once.
+func TestMisleadingAnswers(t *testing.T) {
+	faults := map[string]func(w net.Conn, r *http.Request, body string) bool{
+		"another request's ID": func(w net.Conn, r *http.Request, _ string) bool {
+			r.Header.Set(names.RequestID, "stranger")
+			answer(w, r, 200, "stranger's")
+			return true
+		},
+		"cut body": func(w net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get(names.RequestID))
+			return false
+		},
+		"cut chunk": func(w net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\nff\r\nhalf", r.Header.Get(names.RequestID))
+			return false
+		},
+		"no signature": func(w net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get(names.RequestID))
+			return true
+		},
+		"no HTTP": func(w net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(w, "garbage\r\n\r\n")
+			return false
+		},
+		"no answer": func(net.Conn, *http.Request, string) bool { return false },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, view, pay)
+			entry, bad, good := r.add("dues"), r.add("plots"), r.add("plots")
+			bad.on(fault)
+			for n := range 6 {
+				id := fmt.Sprintf("v%d", n)
+				if got := entry.ask("GET", "/view/x", id, ""); got.status != 200 || got.body != "run of /view/x " || got.header.Get(names.RequestID) != id {
+					t.Errorf("repeatable: %+v", got)
+				}
+			}
+			before := bad.runs.Load() + good.runs.Load()
+			lost := 0
+			for n := range 6 {
+				got := entry.ask("POST", "/pay/x", fmt.Sprintf("p%d", n), "x")
+				if got.status != 200 && got.status != 502 {
+					t.Errorf("unrepeatable: %+v", got)
+				}
+				if got.status == 502 {
+					lost++
+				}
+			}
+			if ran := bad.runs.Load() + good.runs.Load() - before; ran != 6 {
+				t.Errorf("6 unrepeatable requests ran %d times, %d lost", ran, lost)
+			}
+		})
+	}
+}
+
+func TestExtraBytesReachNobody(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	far.on(func(w net.Conn, r *http.Request, body string) bool {
+		whole(w, r, body)
+		old := r.Clone(r.Context())
+		old.Header.Set(names.RequestID, "late")
+		time.Sleep(5 * time.Millisecond)
+		answer(w, old, 200, "late answer")
+		return true
+	})
+	for n := range 20 {
+		id := fmt.Sprintf("r%d", n)
+		got := entry.ask("GET", "/view/"+id, id, "")
+		if got.status != 200 || got.body != "run of /view/"+id+" " {
+			t.Fatalf("request %s got %+v", id, got)
+		}
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\n\r\nall of it", r.Header.Get(names.RequestID))
+		return false
+	})
+	if got := entry.ask("GET", "/view/x", "r1", ""); got.status != 200 || got.body != "all of it" {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+func TestLargeAnswerThatIsCutLooksCut(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	large := strings.Repeat("x", 1<<20)
+	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+		answer(w, r, 200, large)
+		return true
+	})
+	if got := entry.ask("GET", "/view/x", "r1", ""); got.err != nil || got.body != large {
+		t.Fatalf("whole answer: %d bytes, %v", len(got.body), got.err)
+	}
+	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: %d\r\n\r\n%s",
+			r.Header.Get(names.RequestID), len(large), large[:len(large)/2])
+		return false
+	})
+	if got := entry.ask("GET", "/view/x", "r2", ""); got.err == nil && got.status < 500 {
+		t.Errorf("cut answer looks whole: %d, %d bytes", got.status, len(got.body))
+	}
+}
+
+// A server may answer before it has read a long body and read on later.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	_ = far.l.Close()
+	l, err := net.Listen("tcp", far.addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var g errgroup.Group
+	t.Cleanup(func() {
+		_ = l.Close()
+		_ = g.Wait()
+	})
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			b := make([]byte, 4096)
+			n, _ := c.Read(b)
+			id := ""
+			for _, line := range strings.Split(string(b[:n]), "\r\n") {
+				if v, ok := strings.CutPrefix(line, "T-Request: "); ok {
+					id = v
+				}
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: 5\r\n\r\nearly", id)
+			time.Sleep(50 * time.Millisecond)
+			_ = c.Close()
+		}
+	})
+	got := entry.ask("POST", "/view/x", "r1", strings.Repeat("x", 900<<10))
+	if got.status != 200 || got.body != "early" {
+		t.Errorf("answer %d %q %v", got.status, got.body, got.err)
+	}
+	if got := entry.ask("POST", "/view/x", "r2", "short"); got.status != 200 || got.header.Get(names.RequestID) != "r2" {
+		t.Errorf("next answer %+v", got)
+	}
+}
+
+func TestServerRefusalIsSaidAsNotRun(t *testing.T) {
+	r := newRig(t, view, pay)
+	entry, far := r.add("dues"), r.add("plots")
+	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 503 X\r\nT-Request: %s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get(names.RequestID))
+		return true
+	})
+	for _, path := range []string{"/view/x", "/pay/x"} {
+		got := entry.ask("POST", path, "r1", "")
+		if got.status != 503 || got.header.Get("Retry-After") == "" || got.header.Get(names.Signature) != "" {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+}
+
+// Once the server said that it leaves, nothing reaches it, not even what was
+// already waiting for a slot.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	hold := make(chan struct{})
+	far.on(func(w net.Conn, r *http.Request, body string) bool {
+		<-hold
+		return whole(w, r, body)
+	})
+	var g errgroup.Group
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	for n := range 12 {
+		g.Go(func() error {
+			got := entry.ask("GET", "/view/x", fmt.Sprintf("r%d", n), "")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[got.status]++
+			return nil
+		})
+	}
+	for far.gate.Stats().Inflight < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	far.beat("plots", 2, true)
+	close(hold)
+	_ = g.Wait()
+	if ran := far.runs.Load(); ran > 8 || statuses[200] != int(ran) {
+		t.Errorf("%d ran of which 8 were running when the server left; answers %v", ran, statuses)
+	}
+	if got := entry.ask("GET", "/view/x", "late", ""); got.status != 503 || far.runs.Load() > 8 {
+		t.Errorf("after the leave: %+v", got)
+	}
+}
+
+func TestAnotherServerAtTheAddress(t *testing.T) {
+	r := newRig(t, pay)
+	entry, far := r.add("dues"), r.add("plots")
+	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 421 X\r\nT-Instance: stranger\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	if got := entry.ask("POST", "/pay/x", "r1", ""); got.status != 503 {
+		t.Errorf("answer %+v", got)
+	}
+	if state := far.keeper.Server().State.String(); state != "down" {
+		t.Errorf("the server is %s, want down until it says what it is", state)
+	}
+}
+
+func TestAnswerComesAtTheTimeout(t *testing.T) {
+	short := view
+	short.Timeout = 150 * time.Millisecond
+	r := newRig(t, short)
+	entry, far := r.add("dues"), r.add("plots")
+	far.on(func(net.Conn, *http.Request, string) bool {
+		time.Sleep(2 * time.Second)
+		return false
+	})
+	began := time.Now()
+	got := entry.ask("GET", "/view/x", "r1", "")
+	if took := time.Since(began); got.status != 504 || took > 400*time.Millisecond {
+		t.Errorf("status %d after %s", got.status, took)
+	}
+}
+
+func TestCallerThatLeavesStopsTheRun(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	began, ended := make(chan struct{}, 1), make(chan time.Time, 1)
+	far.on(func(w net.Conn, _ *http.Request, _ string) bool {
+		began <- struct{}{}
+		_, _ = w.Read(make([]byte, 1))
+		ended <- time.Now()
+		return false
+	})
+	c, err := net.Dial("tcp", entry.out.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "GET /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r1\r\nT-Left: 3000\r\n\r\n")
+	<-began
+	left := time.Now()
+	_ = c.Close()
+	if took := (<-ended).Sub(left); took > 500*time.Millisecond {
+		t.Errorf("the server's connection ended %s after the caller left", took)
+	}
+}
+
+// A request that carries both a length and chunks must not hide another one.
+func TestNoRequestInsideAnother(t *testing.T) {
+	r := newRig(t, view)
+	entry, far := r.add("dues"), r.add("plots")
+	c, err := net.Dial("tcp", entry.out.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	hidden := "GET /view/hidden HTTP/1.1\r\nHost: h.example\r\nT-Request: hidden\r\n\r\n"
+	raw := "POST /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r1\r\nT-Left: 1000\r\nTransfer-Encoding: chunked\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n0\r\n\r\n%s", 5+len(hidden), hidden)
+	send(c, raw)
+	time.Sleep(50 * time.Millisecond)
+	for _, saw := range far.requests() {
+		if saw.Header.Get("Content-Length") != "" && saw.Header.Get("Transfer-Encoding") != "" {
+			t.Errorf("both framings reached the server")
+		}
+		if saw.Header.Get(names.RequestID) == "hidden" && saw.URL.Path != "/view/hidden" {
+			t.Errorf("smuggled request %v", saw)
+		}
+	}
+}
+
+func TestWeightsAreKept(t *testing.T) {
+	split := view
+	split.Parts = []policy.Part{{Service: "plots", Weight: 9}, {Service: "other", Weight: 1}}
+	r := newRig(t, split)
+	entry, plots, other := r.add("dues"), r.add("plots"), r.add("other")
+	for n := range 50 {
+		entry.ask("GET", "/view/x", fmt.Sprintf("r%d", n), "")
+	}
+	if a, b := plots.runs.Load(), other.runs.Load(); a != 45 || b != 5 {
+		t.Errorf("%d and %d of 50 requests by weights 9 and 1", a, b)
+	}
+}
+
+// A peer behind a cut neither answers nor can be probed: a request that may be
+// repeated goes elsewhere long before its deadline.
+func TestSilentPeer(t *testing.T) {
+	r := newRig(t, view)
+	entry, dead, good := r.add("dues"), r.add("plots"), r.add("plots")
+	dead.on(func(net.Conn, *http.Request, string) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	})
+	r.reach = func(id string) bool { return id != dead.id }
+	for n := range 8 {
+		began := time.Now()
+		got := entry.ask("GET", "/view/x", fmt.Sprintf("r%d", n), "")
+		if took := time.Since(began); got.status != 200 || took > 600*time.Millisecond {
+			t.Errorf("request %d: status %d after %s", n, got.status, took)
+		}
+	}
+	if good.runs.Load() != 8 || dead.runs.Load() > 1 {
+		t.Errorf("%d runs at the good instance, %d at the silent one", good.runs.Load(), dead.runs.Load())
+	}
+}
+
+// Calls that a run makes carry the importance and the deadline of the run.
+func TestCallsInheritFromTheirRun(t *testing.T) {
+	inner := view
+	inner.Name, inner.Prefix, inner.Rank = "inner", "/inner/", 1
+	inner.Parts = []policy.Part{{Service: "other", Weight: 1}}
+	r := newRig(t, pay, inner)
+	entry, mid, far := r.add("dues"), r.add("plots"), r.add("other")
+	_ = far
+	mid.on(func(w net.Conn, req *http.Request, body string) bool {
+		id := req.Header.Get(names.RequestID)
+		got := mid.ask("GET", "/inner/x", id+".1", "")
+		if got.status != 200 {
+			t.Errorf("inner call: %+v", got)
+		}
+		return whole(w, req, body)
+	})
+	if got := entry.ask("POST", "/pay/x", "r1", ""); got.status != 200 {
+		t.Fatalf("answer %+v", got)
+	}
+	saw := far.requests()[0]
+	if id := saw.Header.Get(names.RequestID); id != "r1.1" {
+		t.Errorf("inner ID %q", id)
+	}
+	if origin := saw.Header.Get(names.Origin); origin != "plots" {
+		t.Errorf("inner origin %q", origin)
+	}
+}
--- a/front/hop.go
+++ b/front/hop.go
@@ -193,8 +193,8 @@
 	if a.why != "" {
 		h.Set(hopWhy, a.why)
 	}
-	if a.level < action.Open {
-		h.Set(hopLevel, strconv.FormatUint(uint64(a.level), 10))
+	if len(a.levels) > 0 {
+		h.Set(hopLevel, encodeLevels(a.levels))
 	}
 	h.Set(hopLoad, fmt.Sprintf("%d,%d,%d", a.load.running, a.load.queued, a.load.limit))
 	h.Set(hopTimes, fmt.Sprintf("%d,%d", a.waited.Microseconds(), a.ran.Microseconds()))
@@ -218,7 +218,7 @@
 		rest:     resp.Rest,
 		length:   resp.Length,
 		close:    resp.Close,
-		level:    action.Open,
+		levels:   decodeLevels(h.Get(hopLevel)),
 		instance: h.Get(hopInstance),
 	}
 	switch h.Get(hopOutcome) {
@@ -230,9 +230,6 @@
 	default:
 		a.why = whyLost
 	}
-	if n, err := strconv.ParseUint(h.Get(hopLevel), 10, 32); err == nil && n < uint64(action.Open) {
-		a.level = action.Level(n)
-	}
 	l := numbers(h.Get(hopLoad), 3)
 	a.load = load{running: l[0], queued: l[1], limit: l[2]}
 	t := numbers(h.Get(hopTimes), 2)
@@ -242,6 +239,32 @@
 	return a
 }
 
+// encodeLevels writes the levels of routes as ROUTE=LEVEL, with commas between.
+func encodeLevels(levels map[string]action.Level) string {
+	var b strings.Builder
+	for name, l := range levels {
+		if b.Len() > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(name + "=" + strconv.FormatUint(uint64(l), 10))
+	}
+	return b.String()
+}
+
+// decodeLevels reads what encodeLevels wrote; parts that cannot be read are
+// left out.
+func decodeLevels(list string) map[string]action.Level {
+	levels := map[string]action.Level{}
+	for part := range strings.SplitSeq(list, ",") {
+		name, value, ok := strings.Cut(part, "=")
+		n, err := strconv.ParseUint(value, 10, 32)
+		if ok && err == nil {
+			levels[name] = min(action.Level(n), action.Open)
+		}
+	}
+	return levels
+}
+
 // numbers reads n whole numbers that commas separate; missing ones are 0.
 func numbers(list string, n int) []int {
 	out := make([]int, n)
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -44,7 +44,7 @@
 	ans := f.admitAndRun(ctx, r)
 	s := f.Gate.Stats()
 	ans.load = load{running: s.Inflight, queued: s.Queued, limit: s.Limit}
-	ans.level = min(f.Gate.Level(), f.deep.level(r.route.Name, f.Table, f.Now()))
+	ans.levels = f.deep.levels(f.Gate.Level(), f.Table, f.Now())
 	f.logRun(r, ans)
 	return ans
 }
@@ -70,6 +70,7 @@
 		return refusal(why)
 	}
 	asked := f.Now()
+	f.deep.runs(r.route.Name, asked)
 	pass, err := f.Gate.Enter(ctx, admit.Call{Key: r.key, Method: r.route.Name, Deadline: r.deadline})
 	if err != nil {
 		return refusal(whyNotAdmitted(err))
--- a/route/route.go
+++ b/route/route.go
@@ -30,9 +30,9 @@
 
 const (
 	// levelHold is how long a level stands unchanged after it was heard.
-	levelHold = 200 * time.Millisecond
+	levelHold = 700 * time.Millisecond
 	// levelFade is the time over which a level then opens.
-	levelFade = 800 * time.Millisecond
+	levelFade = 300 * time.Millisecond
 	// loadKeep is how long a reported load is used.
 	loadKeep = time.Second
 	// spillGap is how much busier the own zone may be before calls leave it, in shares of a server.
--- a/route/try.go
+++ b/route/try.go
@@ -25,8 +25,11 @@
 
 // Report is what a reply tells of its server.
 type Report struct {
-	Load    *sycapb.Load
-	Level   action.Level
+	Load *sycapb.Load
+	// Level is that of the method of the try.
+	Level action.Level
+	// Levels, when set, holds the levels of all methods in place of Level.
+	Levels  map[string]action.Level
 	Leaving bool
 }
 
@@ -46,7 +49,13 @@
 		s.load = float64(r.Load.Inflight+r.Load.Queued) / float64(r.Load.Limit)
 		s.loadAt = now
 	}
-	s.levels[y.method] = note{level: r.Level, at: now}
+	if r.Levels == nil {
+		s.levels[y.method] = note{level: r.Level, at: now}
+		return
+	}
+	for method, level := range r.Levels {
+		s.levels[method] = note{level: level, at: now}
+	}
 }
 
 // Fail ends the attempt without a reply. Unreachable tells that the server
