member: another daemon at an address does not answer for the one before

Probes of the old member were answered by the new one, so the old one stayed alive: a third of the requests of its service went to a server that refuses them as of another service, and its open level hid that the others were full. Probes name the member that they are for; a packet from another ID at an address ends the older member. The test fails without it. Levels rise slowly while all slots are in use, and fast once they idle.

--- a/admit/control.go
+++ b/admit/control.go
@@ -16,13 +16,15 @@
 	// demandWeight is the weight of one tick in the demand of an admitted bucket.
 	demandWeight = 0.25
 	// demandDecay is what one tick leaves of the demand of a bucket that is shed upstream.
-	demandDecay = 0.95
+	demandDecay = 0.99
 	// drainTime is how soon a queue above its target should be back at it.
 	drainTime = 200 * time.Millisecond
 	// raiseShare is the part of the capacity by which the level rises in a tick while all is in use;
-	// idleShare is added to it, by the square of the part that is idle.
-	raiseShare = 0.02
-	idleShare  = 0.4
+	// idleShare is added to it, by the cube of the part that is idle.
+	raiseShare = 0.004
+	idleShare  = 0.5
+	// idleWeight is the weight of one tick in the part that is idle.
+	idleWeight = 0.15
 	// fitShare is the part of the capacity that the demand may take when the level falls.
 	fitShare = 0.93
 )
@@ -38,6 +40,8 @@
 	seen    [numBuckets]uint32
 	demand  [numBuckets]float64
 	evicted int
+	// idle is the mean part of the limit that is not in use.
+	idle float64
 }
 
 func bucketOf(k action.Key) int {
@@ -112,13 +116,14 @@
 	capacity := g.capacity(now)
 	target := max(2, capacity*waitTarget.Seconds())
 	over := float64(g.queue.len()) - target
+	idle := float64(max(0, g.limit(now)-g.inflight)) / float64(g.limit(now))
+	c.idle += idleWeight * (idle - c.idle)
 	switch {
 	case over > 0 || c.evicted > 0:
 		c.level = min(c.level, c.fit(fitShare*capacity, target, &g.queue))
 		g.flush()
 	case over < -target/2 && c.level < action.Open:
-		idle := float64(max(0, g.limit(now)-g.inflight)) / float64(g.limit(now))
-		c.level = c.raise(capacity * (raiseShare + idle*idle*idleShare))
+		c.level = c.raise(capacity * (raiseShare + c.idle*c.idle*c.idle*idleShare))
 	}
 	c.evicted = 0
 }
--- a/front/trace.go
+++ b/front/trace.go
@@ -63,6 +63,8 @@
 	fields["running"] = a.load.running
 	fields["queued"] = a.load.queued
 	fields["limit"] = a.load.limit
+	fields["level"] = uint32(f.Gate.Level())
+	fields["key"] = uint32(r.key)
 	fields["instance"] = f.Server().Instance
 	f.Log.WithFields(fields).Info("run")
 }
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -184,6 +184,7 @@
 		return
 	}
 	n.Merge(p.Entries)
+	n.evict(p.From, p.FromAddr)
 	n.heard(p, size)
 	for _, e := range p.Poisons {
 		if n.cfg.Poison != nil {
@@ -195,7 +196,12 @@
 	}
 	switch p.Kind {
 	case sycapb.Packet_KIND_PING:
-		n.send(from, &sycapb.Packet{Kind: sycapb.Packet_KIND_ACK, Seq: p.Seq})
+		kind := sycapb.Packet_KIND_ACK
+		if p.To != "" && p.To != n.id {
+			// The probe is for a member that had this address before.
+			kind = sycapb.Packet_KIND_GOSSIP
+		}
+		n.send(from, &sycapb.Packet{Kind: kind, Seq: p.Seq})
 	case sycapb.Packet_KIND_ACK:
 		n.acked(p.Seq)
 	case sycapb.Packet_KIND_PINGREQ:
@@ -204,6 +210,21 @@
 	}
 }
 
+// evict declares a member dead at whose address another one has just spoken.
+func (n *Node) evict(from, addr string) {
+	n.mu.Lock()
+	var old []*sycapb.MemberEntry
+	for id, r := range n.rows {
+		if id != from && r.Entry.Addr == addr && r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD {
+			old = append(old, proto.Clone(r.Entry).(*sycapb.MemberEntry))
+		}
+	}
+	n.mu.Unlock()
+	for _, e := range old {
+		n.setState(e.Id, e, sycapb.MemberState_MEMBER_STATE_DEAD)
+	}
+}
+
 // heard notes the sender's revision, and tells a sender that is taken for
 // dead or suspect so that it refutes.
 func (n *Node) heard(p *sycapb.Packet, size int) {
--- a/member/member.go
+++ b/member/member.go
@@ -99,8 +99,8 @@
 
 	mu       sync.Mutex
 	self     *sycapb.MemberEntry
+	id       string
 	rows     map[string]*Row
-	byAddr   map[string]string
 	news     news
 	poisons  map[uint64]*poisonNews
 	announce int
@@ -126,8 +126,8 @@
 		cfg:     cfg,
 		conn:    conn,
 		self:    proto.Clone(cfg.Self).(*sycapb.MemberEntry),
+		id:      cfg.Self.Id,
 		rows:    map[string]*Row{},
-		byAddr:  map[string]string{},
 		poisons: map[uint64]*poisonNews{},
 		acks:    map[uint64]chan struct{}{},
 		news:    news{items: map[string]*item{}},
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -119,11 +119,16 @@
 
 // add starts a node in one of three zones.
 func (f *fleet) add(i int, incarnation uint64) *box {
+	return f.addAs(fmt.Sprint("n", i), i, incarnation)
+}
+
+// addAs starts a node with an ID at the address of the i-th node.
+func (f *fleet) addAs(id string, i int, incarnation uint64) *box {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7)
 	zone := fmt.Sprintf("z%d", i%3)
 	bx := &box{zone: zone, in: make(chan packet, 256), off: make(chan struct{})}
 	bx.node = member.New(member.Config{
-		Self:     &sycapb.MemberEntry{Id: fmt.Sprint("n", i), Incarnation: incarnation, Zone: zone, Region: "r", Addr: addr.String()},
+		Self:     &sycapb.MemberEntry{Id: id, Incarnation: incarnation, Zone: zone, Region: "r", Addr: addr.String()},
 		Probe:    200 * time.Millisecond,
 		Now:      time.Now,
 		Revision: func() uint64 { return 0 },
@@ -181,6 +186,36 @@
 	f.await(t, 3*time.Second, 11, "a dead daemon is known", rest...)
 }
 
+// Another daemon at the address of one that is gone must not keep it alive:
+// requests were sent to a backend server of another service.
+func TestAnotherMemberAtTheAddress(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 8)
+	f.await(t, 3*time.Second, 8, "join", f.boxes...)
+	f.boxes[5].down.Store(true)
+	next := f.addAs("next", 5, 2)
+	next.node.Join(f.ctx, f.addrs[:1])
+	rest := append(append([]*box(nil), f.boxes[:5]...), f.boxes[6:8]...)
+	for _, b := range append(rest, next) {
+		start := time.Now()
+		for !b.sees("next", "n5") {
+			if time.Since(start) > 3*time.Second {
+				t.Fatalf("the member that is gone is still taken for alive after %s", time.Since(start))
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// sees reports whether a node takes one member for alive and another not.
+func (b *box) sees(up, gone string) bool {
+	alive := map[string]bool{b.node.Self().Id: true}
+	for _, r := range b.node.Rows() {
+		alive[r.Entry.Id] = r.Entry.State == sycapb.MemberState_MEMBER_STATE_ALIVE
+	}
+	return alive[up] && !alive[gone]
+}
+
 func TestCutZoneRejoinsByItself(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 9)
--- a/member/merge.go
+++ b/member/merge.go
@@ -56,10 +56,8 @@
 	row := &Row{Entry: proto.Clone(e).(*sycapb.MemberEntry), Addr: addr, Since: n.cfg.Now()}
 	if ok {
 		row.Revision = old.Revision
-		delete(n.byAddr, old.Entry.Addr)
 	}
 	n.rows[e.Id] = row
-	n.byAddr[e.Addr] = e.Id
 	if ok || !gone {
 		n.news.add(e.Id, sends(len(n.rows)))
 	}
@@ -121,7 +119,6 @@
 		}
 		if now.Sub(r.Since) > keep {
 			delete(n.rows, id)
-			delete(n.byAddr, r.Entry.Addr)
 		}
 	}
 }
--- a/member/probe.go
+++ b/member/probe.go
@@ -81,7 +81,7 @@
 		return
 	}
 	start := n.cfg.Now()
-	if n.ping(ctx, to, ackWait) {
+	if n.ping(ctx, e.Id, to, ackWait) {
 		return
 	}
 	if n.pingThrough(ctx, e) {
@@ -96,11 +96,12 @@
 	}
 }
 
-// ping probes an address and reports whether it answered in time.
-func (n *Node) ping(ctx context.Context, to netip.AddrPort, wait time.Duration) bool {
+// ping probes the member with an ID at its address and reports whether it
+// answered in time.
+func (n *Node) ping(ctx context.Context, id string, to netip.AddrPort, wait time.Duration) bool {
 	seq, acked := n.await()
 	defer n.drop(seq)
-	n.send(to, &sycapb.Packet{Kind: sycapb.Packet_KIND_PING, Seq: seq})
+	n.send(to, &sycapb.Packet{Kind: sycapb.Packet_KIND_PING, Seq: seq, To: id})
 	return wasAcked(ctx, acked, wait)
 }
 
@@ -111,7 +112,7 @@
 	seq, acked := n.await()
 	defer n.drop(seq)
 	for _, h := range helpers {
-		n.send(h, &sycapb.Packet{Kind: sycapb.Packet_KIND_PINGREQ, Seq: seq, Target: e.Addr})
+		n.send(h, &sycapb.Packet{Kind: sycapb.Packet_KIND_PINGREQ, Seq: seq, Target: e.Addr, To: e.Id})
 	}
 	return wasAcked(ctx, acked, indirectWait)
 }
@@ -161,7 +162,7 @@
 		return
 	}
 	n.relays.Go(func() error {
-		if n.ping(ctx, target, ackWait) {
+		if n.ping(ctx, p.To, target, ackWait) {
 			n.send(from, &sycapb.Packet{Kind: sycapb.Packet_KIND_ACK, Seq: p.Seq})
 		}
 		return nil
@@ -200,7 +201,7 @@
 		return
 	}
 	r := dead[rand.IntN(len(dead))]
-	p := &sycapb.Packet{Kind: sycapb.Packet_KIND_PING, Entries: []*sycapb.MemberEntry{
+	p := &sycapb.Packet{Kind: sycapb.Packet_KIND_PING, To: r.Entry.Id, Entries: []*sycapb.MemberEntry{
 		proto.Clone(r.Entry).(*sycapb.MemberEntry),
 		proto.Clone(n.self).(*sycapb.MemberEntry),
 	}}
@@ -234,7 +235,7 @@
 		return false
 	}
 	for range reachTries {
-		if n.ping(ctx, r.Addr, reachWait) {
+		if n.ping(ctx, id, r.Addr, reachWait) {
 			return true
 		}
 	}
