front: the ingress refuses above its level what nothing is invested in

The ingress knows the level best and refuses at once what no run is invested in; stale candidates take the freshest level of their service; invested calls wait one class higher. The demand of shed keys kept the peak of single ticks, which shut out lookups for statements.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -72,6 +72,8 @@
 	lateShare = 0.7
 	// refusalCut is the factor on the limit at a refusal by the backend server.
 	refusalCut = 0.9
+	// classKeys is the number of keys of one class.
+	classKeys = (action.MaxKey + 1) / (action.MaxRank + 1)
 	// fullShare is the part of the limit from which a refusal counts as one for want of room.
 	fullShare = 0.8
 	// coldShare is the part of the slots that a cold backend server starts with.
@@ -95,12 +97,23 @@
 	ID action.ID
 	// Key is the importance of the call.
 	Key action.Key
+	// Invested tells that work was done for the call upstream, which a refusal would waste.
+	// It waits as one of the next more important class.
+	Invested bool
 	// Method tells which run time to expect.
 	Method string
 	// Deadline is when the answer must be there.
 	Deadline time.Time
 }
 
+// order returns the key by which a call waits.
+func (c Call) order() action.Key {
+	if c.Invested && c.Key.Rank() > 0 {
+		return c.Key - classKeys
+	}
+	return c.Key
+}
+
 // Gate admits calls to one backend server. It is safe for concurrent use.
 type Gate struct {
 	cfg Config
@@ -209,7 +222,7 @@
 	if g.cfg.Mode == Static {
 		w.order = action.Key(0)
 	} else {
-		w.order = c.Key
+		w.order = c.order()
 	}
 	g.control.arrived(c.Key)
 	if late := g.late(w, now); late != nil {
@@ -248,9 +261,9 @@
 // checkOrder asserts that no call of a less important class waits or was
 // admitted after w arrived.
 func (g *Gate) checkOrder(w *waiter) {
-	rank := w.Key.Rank()
+	rank := w.order.Rank()
 	for _, o := range g.queue.items {
-		invar.Check(o.Key.Rank() <= rank, "order", w.ID, "shed at rank %d while rank %d waits", rank, o.Key.Rank())
+		invar.Check(o.order.Rank() <= rank, "order", w.ID, "shed at rank %d while rank %d waits", rank, o.order.Rank())
 	}
 	for r := rank + 1; r <= action.MaxRank; r++ {
 		invar.Check(g.admitted[r] < w.seq, "order", w.ID, "shed at rank %d, rank %d was admitted after it arrived", rank, r)
@@ -266,7 +279,7 @@
 			continue
 		}
 		g.seq++
-		g.admitted[w.Key.Rank()] = g.seq
+		g.admitted[w.order.Rank()] = g.seq
 		g.inflight++
 		w.verdict <- nil
 	}
--- a/admit/control.go
+++ b/admit/control.go
@@ -15,6 +15,8 @@
 	numBuckets = (int(action.MaxKey) + 1) >> bucketBits
 	// demandWeight is the weight of one tick in the demand of an admitted bucket.
 	demandWeight = 0.25
+	// aboveWeight is the weight of one tick whose arrivals exceed the demand of a bucket that is shed upstream.
+	aboveWeight = 0.1
 	// demandDecay is what one tick leaves of the demand of a bucket that is shed upstream.
 	demandDecay = 0.99
 	// drainTime is how soon a queue above its target should be back at it.
@@ -67,7 +69,11 @@
 			c.demand[i] += demandWeight * (rate - c.demand[i])
 			continue
 		}
-		c.demand[i] = max(rate*demandWeight, c.demand[i]*demandDecay)
+		if rate > c.demand[i] {
+			c.demand[i] += aboveWeight * (rate - c.demand[i])
+			continue
+		}
+		c.demand[i] *= demandDecay
 	}
 }
 
@@ -79,7 +85,7 @@
 	next := 0
 	for i, d := range c.demand {
 		sum += d
-		for next < q.len() && bucketOf(q.items[next].Key) <= i {
+		for next < q.len() && bucketOf(q.items[next].order) <= i {
 			backlog++
 			next++
 		}
@@ -133,7 +139,7 @@
 	rank := action.Key(g.control.level).Rank()
 	for g.queue.len() > 0 {
 		w := g.queue.popWorst()
-		if w.Key.Rank() <= rank {
+		if w.order.Rank() <= rank {
 			g.queue.push(w)
 			return
 		}
--- a/front/deep.go
+++ b/front/deep.go
@@ -67,6 +67,14 @@
 	return list
 }
 
+// levelOf returns the strictest level among the calls that runs of a route
+// make.
+func (d *deep) levelOf(by string, t *route.Table, now time.Time) action.Level {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.level(by, t, now)
+}
+
 // level returns the strictest level among the calls that runs of a route
 // make; d.mu is held.
 func (d *deep) level(by string, t *route.Table, now time.Time) action.Level {
--- a/front/hop.go
+++ b/front/hop.go
@@ -29,6 +29,8 @@
 	hopLeft   = hopPrefix + "Left"
 	hopRepeat = hopPrefix + "Repeat"
 	hopAgain  = hopPrefix + "Again"
+	// hopOwn marks a call of a backend server, in which the run that made it is invested.
+	hopOwn = hopPrefix + "Own"
 
 	hopOutcome  = hopPrefix + "Outcome"
 	hopWhy      = hopPrefix + "Why"
@@ -125,6 +127,9 @@
 	if r.again {
 		h.Set(hopAgain, "1")
 	}
+	if r.own {
+		h.Set(hopOwn, "1")
+	}
 	return req
 }
 
@@ -178,6 +183,7 @@
 			origin:   r.Header.Get(hopOrigin),
 			key:      action.Key(key),
 			again:    r.Header.Get(hopAgain) != "",
+			own:      r.Header.Get(hopOwn) != "",
 			print:    poison.Print(print),
 			arrived:  now,
 			deadline: now.Add(time.Duration(left) * time.Microsecond),
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"sycamorespread.dev/action"
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/life"
@@ -49,6 +50,12 @@
 	return ans
 }
 
+// levelOf returns the level of a route here: that of the own queue, or the
+// strictest among the calls that its runs make.
+func (f *Front) levelOf(name string, now time.Time) action.Level {
+	return min(f.Gate.Level(), f.deep.levelOf(name, f.Table, now))
+}
+
 // unwilling says why the backend server takes no work, empty when it does.
 func (f *Front) unwilling(r *request) string {
 	s := f.Server()
@@ -71,7 +78,11 @@
 	}
 	asked := f.Now()
 	f.deep.runs(r.route.Name, asked)
-	pass, err := f.Gate.Enter(ctx, admit.Call{Key: r.key, Method: r.route.Name, Deadline: r.deadline})
+	if !r.own && !f.levelOf(r.route.Name, asked).Admits(r.key) {
+		// The entry has not heard of the level yet.
+		return refusal(whyShed)
+	}
+	pass, err := f.Gate.Enter(ctx, admit.Call{Key: r.key, Invested: r.own, Method: r.route.Name, Deadline: r.deadline})
 	if err != nil {
 		return refusal(whyNotAdmitted(err))
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -253,16 +253,40 @@
 	return up
 }
 
+// admitting returns the candidates that take the request. One whose level was
+// not heard of late is taken to have that of the service, since what binds is
+// mostly deeper and common to all; one that never answered is open.
 func admitting(list []*state, req Request, now time.Time) []*state {
+	common, known := freshest(list, req.Method, now)
 	open := make([]*state, 0, len(list))
 	for _, s := range list {
-		if s.level(req.Method, now).Admits(req.Key) {
+		level := s.level(req.Method, now)
+		if n, ok := s.levels[req.Method]; ok && known && now.Sub(n.at) > levelHold {
+			level = common
+		}
+		if level.Admits(req.Key) {
 			open = append(open, s)
 		}
 	}
 	return open
 }
 
+// freshest returns the highest level that was heard within levelHold, if any
+// was.
+func freshest(list []*state, method string, now time.Time) (action.Level, bool) {
+	var best action.Level
+	known := false
+	for _, s := range list {
+		n, ok := s.levels[method]
+		if !ok || now.Sub(n.at) > levelHold {
+			continue
+		}
+		best = max(best, n.level)
+		known = true
+	}
+	return best, known
+}
+
 // mildest returns the candidate with the highest level.
 func mildest(list []*state, method string, now time.Time) *state {
 	best := list[0]
@@ -352,18 +376,8 @@
 func (t *Table) Level(service, method string) action.Level {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	var best action.Level
-	heard := false
-	for _, s := range t.services[service] {
-		n, ok := s.levels[method]
-		if !ok || now.Sub(n.at) > levelHold+levelFade {
-			continue
-		}
-		heard = true
-		best = max(best, s.level(method, now))
-	}
-	if !heard {
+	best, known := freshest(t.services[service], method, t.now())
+	if !known {
 		return action.Open
 	}
 	return best
