admit: the level fits the remembered demand

The level now falls to where the remembered demand fits and drains a queue over a second; it rises slowly while most slots are in use.

Besides: Retry-After lets a caller return just inside the target; levels that are open do not travel; the heap grows to twice what is in use (not measured alone).

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -59,9 +59,6 @@
 )
 
 const (
-	// waitTarget is the queueing time that the level aims for; an action waits as
-	// often as it calls the service, up to eight times in our users' graphs.
-	waitTarget = 10 * time.Millisecond
 	// waitMax is the queueing time that the length of the queue allows.
 	waitMax = 250 * time.Millisecond
 	// minQueue is the smallest bound on the queue, in calls.
@@ -98,7 +95,7 @@
 	// Key is the importance of the call.
 	Key action.Key
 	// Invested tells that work was done for the call upstream, which a refusal would waste.
-	// It waits as one of the next more important class.
+	// It waits half a class further ahead.
 	Invested bool
 	// Method tells which run time to expect.
 	Method string
@@ -108,8 +105,8 @@
 
 // order returns the key by which a call waits.
 func (c Call) order() action.Key {
-	if c.Invested && c.Key.Rank() > 0 {
-		return c.Key - classKeys
+	if c.Invested {
+		return c.Key - min(c.Key, classKeys/2)
 	}
 	return c.Key
 }
--- a/admit/control.go
+++ b/admit/control.go
@@ -13,30 +13,34 @@
 	// bucketBits is the part of a key that a bucket of the demand leaves out.
 	bucketBits = 10
 	numBuckets = (int(action.MaxKey) + 1) >> bucketBits
-	// demandWeight is the weight of one tick in the demand of an admitted bucket.
-	demandWeight = 0.25
-	// aboveWeight is the weight of one tick whose arrivals exceed the demand of a bucket that is shed upstream.
-	aboveWeight = 0.1
+	// demandWeight is the weight of one tick in the demand of an admitted bucket. An action reaches a deep service up
+	// to half a second after it was admitted, so that a shorter memory would follow the level rather than the demand.
+	demandWeight = 0.08
 	// demandDecay is what one tick leaves of the demand of a bucket that is shed upstream.
-	demandDecay = 0.99
+	demandDecay = 0.998
+	// fitShare is the part of the capacity that the demand may take when the level falls.
+	fitShare = 0.95
 	// drainTime is how soon a queue above its target should be back at it.
-	drainTime = 200 * time.Millisecond
-	// raiseShare is the part of the capacity by which the level rises in a tick while all is in use;
+	drainTime = time.Second
+	// waitTarget is the queueing time that the level aims for; an action waits as
+	// often as it calls the service, up to eight times in our users' graphs.
+	waitTarget = 10 * time.Millisecond
+	// raiseShare is the part of the capacity by which the level rises in a tick while most is in use;
 	// idleShare is added to it, by the cube of the part that is idle.
-	raiseShare = 0.004
+	raiseShare = 0.003
 	idleShare  = 0.5
 	// idleWeight is the weight of one tick in the part that is idle.
 	idleWeight = 0.15
-	// fitShare is the part of the capacity that the demand may take when the level falls.
-	fitShare = 0.93
+	// evictedShare is the part of the capacity by which the level falls at least in a tick with a full queue.
+	evictedShare = 0.02
 )
 
 // control moves the level. It keeps the demand seen in each bucket of keys.
 // When the queue is above its target, the level falls to the key up to which
-// the known demand fits the capacity. When the queue is short, the level
-// rises by a part of the capacity; demand that is shed upstream is not seen
-// here and is forgotten within a second or two, so the level opens soon after
-// the demand is gone.
+// the known demand fits the capacity. When there is room, the level rises
+// slowly, and fast when much is idle; demand that is shed upstream is not seen
+// here and is remembered as it was. The level opens soon after the demand is
+// gone.
 type control struct {
 	level   action.Level
 	seen    [numBuckets]uint32
@@ -69,10 +73,6 @@
 			c.demand[i] += demandWeight * (rate - c.demand[i])
 			continue
 		}
-		if rate > c.demand[i] {
-			c.demand[i] += aboveWeight * (rate - c.demand[i])
-			continue
-		}
 		c.demand[i] *= demandDecay
 	}
 }
@@ -97,6 +97,18 @@
 	return action.Open
 }
 
+// lower returns the level that sheds rate calls a second more.
+func (c *control) lower(rate float64) action.Level {
+	sum := 0.0
+	for i := bucketOf(action.Key(c.level)); i > 0; i-- {
+		sum += c.demand[i]
+		if sum >= rate {
+			return edge(i - 1)
+		}
+	}
+	return c.level
+}
+
 // raise returns the level with room for rate more calls a second.
 func (c *control) raise(rate float64) action.Level {
 	sum := 0.0
@@ -119,15 +131,18 @@
 	now := g.cfg.Now()
 	c := &g.control
 	c.measure()
+	limit := float64(g.limit(now))
+	c.idle += idleWeight * (max(0, 1-float64(g.inflight)/limit) - c.idle)
 	capacity := g.capacity(now)
 	target := max(2, capacity*waitTarget.Seconds())
 	over := float64(g.queue.len()) - target
-	idle := float64(max(0, g.limit(now)-g.inflight)) / float64(g.limit(now))
-	c.idle += idleWeight * (idle - c.idle)
 	switch {
 	case over > 0 || c.evicted > 0:
 		c.level = min(c.level, c.fit(fitShare*capacity, target, &g.queue))
-		g.flush()
+		if c.evicted > 0 {
+			c.level = min(c.level, c.lower(evictedShare*capacity))
+			g.flush()
+		}
 	case over < -target/2 && c.level < action.Open:
 		c.level = c.raise(capacity * (raiseShare + c.idle*c.idle*c.idle*idleShare))
 	}
--- a/front/entry.go
+++ b/front/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,8 +24,16 @@
 	afterNoPolicy = 500 * time.Millisecond
 	// afterNoServer is the pause that a caller is advised when no instance can be reached.
 	afterNoServer = 300 * time.Millisecond
-	// afterShed is the pause that a caller is advised at an overload.
-	afterShed = 500 * time.Millisecond
+	// afterLeast is the shortest pause that a caller is advised at an overload.
+	afterLeast = 100 * time.Millisecond
+	// afterMargin is the part of the time that would be left for a return inside the target that is kept in reserve.
+	afterMargin = 0.15
+	// afterSpread is the part of a pause over which the returns are spread.
+	afterSpread = 0.3
+	// waitShare is the part of the time that a caller has left for which it waits at most.
+	waitShare = 1.0 / 3
+	// tookWeight is the weight of one answer in the mean latency of a route.
+	tookWeight = 0.05
 )
 
 // final is what the entry tells a caller in its own words.
@@ -49,6 +58,7 @@
 		return
 	}
 	r.log.status = ans.status
+	f.latency.add(r.route.Name, f.Now().Sub(r.arrived))
 	f.logEntry(r, "answered")
 	if f.Stopping() {
 		w.Header().Set("Connection", "close")
@@ -79,8 +89,8 @@
 		}
 		hr.Body = http.MaxBytesReader(w, hr.Body, limit)
 	}
-	left := timeLeft(hr.Header.Get(f.Headers.TimeLeft), r.route.Timeout)
-	r.deadline = now.Add(min(left, r.route.Timeout))
+	r.patience = timeLeft(hr.Header.Get(f.Headers.TimeLeft), r.route.Timeout)
+	r.deadline = now.Add(min(r.patience, r.route.Timeout))
 	return r, f.prepare(r, hr)
 }
 
@@ -195,20 +205,35 @@
 	}
 	var shed *route.ShedError
 	if errors.As(err, &shed) {
-		return final{status: http.StatusServiceUnavailable, why: whyShed, after: afterShed}
+		return final{status: http.StatusServiceUnavailable, why: whyShed, after: f.pause(r)}
 	}
 	return final{status: http.StatusServiceUnavailable, why: whyNoServer, after: afterNoServer}
 }
 
 // giveUp says what to tell a caller after the last send.
-func (f *Front) giveUp(_ *request, last *answer, sends int) final {
+func (f *Front) giveUp(r *request, last *answer, sends int) final {
 	switch {
 	case sends > 0 && last.why == whyTimeout:
 		return final{status: http.StatusGatewayTimeout, why: last.why}
 	case sends > 0:
 		return final{status: http.StatusBadGateway, why: last.why}
 	}
-	return final{status: http.StatusServiceUnavailable, why: last.why, after: afterShed}
+	return final{status: http.StatusServiceUnavailable, why: last.why, after: f.pause(r)}
+}
+
+// pause returns how long a refused caller should stay away. A surge has the
+// more time to pass the later the caller returns; it should return just early
+// enough for an answer inside the target of the route, and otherwise as late
+// as it would wait. Returns are spread so that they are no surge themselves.
+func (f *Front) pause(r *request) time.Duration {
+	left := r.patience - f.Now().Sub(r.arrived)
+	most := time.Duration(waitShare * float64(left))
+	after := time.Duration((1 - afterMargin) * float64(r.route.Target-f.latency.of(r.route.Name)-f.Now().Sub(r.arrived)))
+	if after < afterLeast || after > most {
+		after = most
+	}
+	after -= time.Duration(afterSpread * rand.Float64() * float64(after))
+	return max(after, afterLeast)
 }
 
 // refuse answers a caller in the entry's own words.
--- a/front/front.go
+++ b/front/front.go
@@ -101,11 +101,12 @@
 	deep     *deep
 	runs     *runs
 	contacts *contacts
+	latency  *latency
 }
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns(), contacts: newContacts()}
+	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns(), contacts: newContacts(), latency: newLatency()}
 }
 
 // Inflight returns the number of requests that are being served.
--- a/front/hop.go
+++ b/front/hop.go
@@ -199,8 +199,8 @@
 	if a.why != "" {
 		h.Set(hopWhy, a.why)
 	}
-	if len(a.levels) > 0 {
-		h.Set(hopLevel, encodeLevels(a.levels))
+	if list := encodeLevels(a.levels); list != "" {
+		h.Set(hopLevel, list)
 	}
 	h.Set(hopLoad, fmt.Sprintf("%d,%d,%d", a.load.running, a.load.queued, a.load.limit))
 	h.Set(hopTimes, fmt.Sprintf("%d,%d", a.waited.Microseconds(), a.ran.Microseconds()))
@@ -246,9 +246,13 @@
 }
 
 // encodeLevels writes the levels of routes as ROUTE=LEVEL, with commas between.
+// Routes that are open are left out.
 func encodeLevels(levels map[string]action.Level) string {
 	var b strings.Builder
 	for name, l := range levels {
+		if l >= action.Open {
+			continue
+		}
 		if b.Len() > 0 {
 			b.WriteByte(',')
 		}
--- a/front/request.go
+++ b/front/request.go
@@ -46,6 +46,8 @@
 
 	arrived  time.Time
 	deadline time.Time
+	// patience is how long the caller waits, from arrived.
+	patience time.Duration
 	revision uint64
 	log      trace
 }
--- a/route/try.go
+++ b/route/try.go
@@ -28,7 +28,7 @@
 	Load *sycapb.Load
 	// Level is that of the method of the try.
 	Level action.Level
-	// Levels, when set, holds the levels of all methods in place of Level.
+	// Levels, when set, holds the levels of all methods that are not open, in place of Level.
 	Levels  map[string]action.Level
 	Leaving bool
 }
@@ -53,6 +53,10 @@
 		s.levels[y.method] = note{level: r.Level, at: now}
 		return
 	}
+	for method := range s.levels {
+		s.levels[method] = note{level: action.Open, at: now}
+	}
+	s.levels[y.method] = note{level: action.Open, at: now}
 	for method, level := range r.Levels {
 		s.levels[method] = note{level: level, at: now}
 	}
--- a/sycd/main.go
+++ b/sycd/main.go
@@ -24,8 +24,9 @@
 )
 
 const (
-	// gcPercent lets the heap grow to five times what is in use before a collection.
-	gcPercent = 400
+	// gcPercent lets the heap grow to twice what is in use before a collection; memory is
+	// dearer than processor time on the instances.
+	gcPercent = 100
 	// memoryLimit is where collections become more frequent, in bytes; the limit for a daemon is 128 MB.
 	memoryLimit = 96 << 20
 	// logBuffer is the largest number of bytes of log lines that wait to be written.
