route: calm servers of the own zone keep their calls; faulty ones get fewer

A server that fails half of its calls at once, or runs several times longer than the others, looked idle and drew calls. What all servers of a service have in common counts against none.

--- a/route/route.go
+++ b/route/route.go
@@ -17,7 +17,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -35,6 +34,9 @@
 	levelFade = 300 * time.Millisecond
 	// loadKeep is how long a reported load is used.
 	loadKeep = time.Second
+	// calmFill is the share of a server in use up to which calls stay in the own zone whatever the others have:
+	// bytes between zones are dear, and a server with free slots answers no later for being used.
+	calmFill = 0.7
 	// spillGap is how much busier the own zone may be before calls leave it, in shares of a server.
 	spillGap = 0.3
 	// avoidFirst and avoidMost bound the time for which an unreachable candidate is left out.
@@ -105,6 +107,7 @@
 	load     float64
 	loadAt   time.Time
 	levels   map[string]note
+	runs     map[string]*record
 	avoid    time.Time
 	failures int
 	// silent tells that the target cannot be reached from here.
@@ -140,7 +143,7 @@
 		s, ok := t.byID[target.ID]
 		if !ok || s.target.Incarnation != target.Incarnation {
 			silent := ok && s.silent
-			s = &state{levels: map[string]note{}, silent: silent}
+			s = &state{levels: map[string]note{}, runs: map[string]*record{}, silent: silent}
 		}
 		s.target = target
 		byID[target.ID] = s
@@ -201,7 +204,7 @@
 	if len(open) == 0 {
 		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter}
 	}
-	return t.try(t.choose(open, now), req.Method), nil
+	return t.try(t.choose(open, req.Method, now), req.Method), nil
 }
 
 // SetSilent leaves a target out while it cannot be reached from here.
@@ -313,7 +316,8 @@
 
 // choose takes the better of two random candidates of the own zone, and a
 // better one of the other zones when the own zone is busier by spillGap.
-func (t *Table) choose(list []*state, now time.Time) *state {
+func (t *Table) choose(list []*state, method string, now time.Time) *state {
+	norm := normOf(list, method, now)
 	var own, other []*state
 	for _, s := range list {
 		if s.target.Zone == t.Zone {
@@ -322,38 +326,42 @@
 			other = append(other, s)
 		}
 	}
-	near := better(own, now)
-	far := better(other, now)
+	near := norm.better(own, now)
+	far := norm.better(other, now)
 	if near == nil {
 		return far
 	}
-	if far != nil && far.score(now)+spillGap < near.score(now) {
+	if far == nil || norm.sound(near, now) && near.fill(now) < calmFill {
+		return near
+	}
+	if norm.cost(far, now)+spillGap < norm.cost(near, now) {
 		return far
 	}
 	return near
 }
 
-func better(list []*state, now time.Time) *state {
-	if len(list) == 0 {
-		return nil
-	}
-	a := list[rand.IntN(len(list))]
-	b := list[rand.IntN(len(list))]
-	if b.score(now) < a.score(now) {
-		return b
-	}
-	return a
-}
-
 // score estimates the share of the server that is in use.
 func (s *state) score(now time.Time) float64 {
-	own := float64(s.inflight+1) / float64(max(1, s.target.Slots))
+	own := s.own()
 	if now.Sub(s.loadAt) > loadKeep {
 		return own
 	}
 	return max(own, s.load) + own/2
 }
 
+// own returns the share of the server that calls of this daemon use.
+func (s *state) own() float64 {
+	return float64(s.inflight+1) / float64(max(1, s.target.Slots))
+}
+
+// fill returns the share of the server that is known to be in use.
+func (s *state) fill(now time.Time) float64 {
+	if now.Sub(s.loadAt) > loadKeep {
+		return s.own()
+	}
+	return max(s.own(), s.load)
+}
+
 // level returns the level last heard for a method, opened by its age.
 func (s *state) level(method string, now time.Time) action.Level {
 	n, ok := s.levels[method]
--- a/route/try.go
+++ b/route/try.go
@@ -31,6 +31,10 @@
 	// Levels, when set, holds the levels of all methods that are not open, in place of Level.
 	Levels  map[string]action.Level
 	Leaving bool
+	// Took is the time at the backend server, 0 when it did not run the call.
+	Took time.Duration
+	// Failed tells that the backend server failed the call, or refused it while it had room.
+	Failed bool
 }
 
 // Done ends the attempt with a reply.
@@ -49,6 +53,7 @@
 		s.load = float64(r.Load.Inflight+r.Load.Queued) / float64(r.Load.Limit)
 		s.loadAt = now
 	}
+	s.record(y.method, r, now)
 	if r.Levels == nil {
 		s.levels[y.method] = note{level: r.Level, at: now}
 		return
