front: a send that takes much longer than others of its route is moved

A send that may be repeated is given up after six times the mean and paid from the retry budget; the time that it took counts against the server.

--- a/front/entry.go
+++ b/front/entry.go
@@ -140,8 +140,9 @@
 			return nil, f.noTarget(r, err, sends, last)
 		}
 		r.again = r.again || sends > 0
-		last = f.send(ctx, r, try.Target)
-		f.report(try, last)
+		began := f.Now()
+		last = f.sendOrMove(ctx, r, try.Target, budget, sends)
+		f.report(try, last, f.Now().Sub(began))
 		r.log.add(try.Target.ID, last)
 		if last.outcome == answered {
 			return last, final{}
@@ -166,12 +167,15 @@
 }
 
 // report tells the table how a send ended.
-func (f *Front) report(try *route.Try, a *answer) {
+func (f *Front) report(try *route.Try, a *answer, took time.Duration) {
 	switch a.why {
 	case whyDial, whyLost, whyDown, whyMoved, whyLeaving:
 		try.Fail(true)
 		return
-	case whyGone, whyTimeout, whySilent:
+	case whyGone, whyTimeout, whySlow:
+		try.Slow(took)
+		return
+	case whySilent:
 		try.Fail(false)
 		return
 	}
@@ -193,6 +197,9 @@
 		return sends == 0
 	case whyRefused:
 		return budget.Spend(r.key)
+	case whySlow:
+		// The retry is paid for.
+		return true
 	case whyLost, whyCrash, whySilent:
 		return r.route.Repeatable && sends < r.route.Attempts && budget.Spend(r.key)
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -407,3 +407,28 @@
 		t.Errorf("inner origin %q", origin)
 	}
 }
+
+// A server that holds requests, or lost their answers, is given up for another
+// when others of the route are answered much faster.
+func TestSlowSendIsMoved(t *testing.T) {
+	r := newRig(t, view)
+	entry, slow, good := r.add("dues"), r.add("plots"), r.add("plots")
+	for n := range 10 {
+		entry.ask("GET", "/view/x", fmt.Sprintf("w%d", n), "")
+	}
+	slow.on(func(w net.Conn, r *http.Request, body string) bool {
+		time.Sleep(900 * time.Millisecond)
+		return whole(w, r, body)
+	})
+	before := good.runs.Load()
+	for n := range 6 {
+		began := time.Now()
+		got := entry.ask("GET", "/view/x", fmt.Sprintf("r%d", n), "")
+		if took := time.Since(began); got.status != 200 || took > 400*time.Millisecond {
+			t.Errorf("request %d: status %d after %s", n, got.status, took)
+		}
+	}
+	if good.runs.Load()-before < 5 {
+		t.Errorf("the other instance ran %d of 6", good.runs.Load()-before)
+	}
+}
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/admit"
@@ -135,7 +136,7 @@
 		return refusal(whyRefused), admit.Refused
 	case id != r.id, resp.Status < http.StatusMultipleChoices && !signed:
 		resp.Close()
-		f.Backend.Forget(f.App)
+		f.Log.WithFields(f.fields(r)).WithFields(logrus.Fields{"got": id, "status": resp.Status, "signed": signed}).Warn("answer belongs to no request")
 		return lost(whyLost), admit.Lost
 	}
 	if resp.Status < http.StatusInternalServerError {
--- a/httpc/conn.go
+++ b/httpc/conn.go
@@ -94,16 +94,17 @@
 	return err == nil && quiet
 }
 
-// keepFor returns how long the connection may stay idle after an answer.
-func keepFor(h http.Header, most time.Duration) time.Duration {
+// keepFor returns how long the connection may stay idle after an answer, or
+// when the answer does not say.
+func keepFor(h http.Header, or time.Duration) time.Duration {
 	for _, v := range h.Values("Keep-Alive") {
 		for _, part := range strings.Split(v, ",") {
 			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 			seconds, err := strconv.Atoi(value)
 			if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-				return min(most, time.Duration(keepShare*float64(seconds)*float64(time.Second)))
+				return time.Duration(keepShare * float64(seconds) * float64(time.Second))
 			}
 		}
 	}
-	return most
+	return or
 }
--- a/route/try.go
+++ b/route/try.go
@@ -67,6 +67,18 @@
 	}
 }
 
+// Slow ends the attempt without a reply after the time that it took; the
+// server would have taken longer.
+func (y *Try) Slow(took time.Duration) {
+	y.t.mu.Lock()
+	defer y.t.mu.Unlock()
+	s := y.s
+	s.inflight--
+	if rec := s.runs[y.method]; rec == nil || took > rec.took {
+		s.record(y.method, Report{Took: took}, y.t.now())
+	}
+}
+
 // Fail ends the attempt without a reply. Unreachable tells that the server
 // could not be reached or died, so that it is left out for a while.
 func (y *Try) Fail(unreachable bool) {
