--- a/front/entry.go
+++ b/front/entry.go
@@ -148,6 +148,10 @@
 			return last, final{}
 		}
 		last.done()
+		if last.why == whyCrash {
+			// The news of the crash may come later than the retry.
+			f.noteCrash(r, try.Target.ID, last.instance)
+		}
 		if last.outcome == unknown {
 			sends++
 		}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -270,7 +270,7 @@
 func TestAnotherServerAtTheAddress(t *testing.T) {
 	r := newRig(t, pay)
 	entry, far := r.add("dues"), r.add("plots")
-	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+	far.on(func(w net.Conn, _ *http.Request, _ string) bool {
 		_, _ = fmt.Fprintf(w, "HTTP/1.1 421 X\r\nT-Instance: stranger\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
@@ -432,3 +432,39 @@
 		t.Errorf("the other instance ran %d of 6", good.runs.Load()-before)
 	}
 }
+
+// A request that crashes each server that runs it is refused after two.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	r := newRig(t, view)
+	entry := r.add("dues")
+	var crashed []*instance
+	for range 4 {
+		i := r.add("plots")
+		i.on(func(w net.Conn, req *http.Request, body string) bool {
+			if req.URL.Path != "/view/bad" {
+				return whole(w, req, body)
+			}
+			_ = i.l.Close()
+			return false
+		})
+		crashed = append(crashed, i)
+	}
+	for n := range 6 {
+		if got := entry.ask("GET", "/view/bad", fmt.Sprintf("r%d", n), ""); got.status < 500 {
+			t.Errorf("answer %+v", got)
+		}
+	}
+	runs, down := int64(0), 0
+	for _, i := range crashed {
+		runs += i.runs.Load()
+		if i.keeper.Server().State.String() == "down" {
+			down++
+		}
+	}
+	if runs > 3 || down != int(runs) {
+		t.Errorf("%d runs, %d servers are known to be down", runs, down)
+	}
+	if got := entry.ask("GET", "/view/good", "g", ""); got.status != 200 {
+		t.Errorf("another request: %+v", got)
+	}
+}
--- a/front/hop.go
+++ b/front/hop.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	print, err := number(hopPrint, 16)
+	fp, err := number(hopPrint, 16)
 	if err != nil {
 		return nil, err
 	}
@@ -184,7 +184,7 @@
 			key:      action.Key(key),
 			again:    r.Header.Get(hopAgain) != "",
 			own:      r.Header.Get(hopOwn) != "",
-			print:    poison.Print(print),
+			print:    poison.Print(fp),
 			arrived:  now,
 			deadline: now.Add(time.Duration(left) * time.Microsecond),
 		},
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -196,9 +196,34 @@
 		return lost(whyGone), admit.Lost
 	}
 	f.Log.WithFields(f.fields(r)).WithField("err", err).Warn("answer of the backend server lost")
+	if f.crashed(ctx, s) {
+		f.noteCrash(r, f.Self, s.Instance)
+		return &answer{outcome: unknown, why: whyCrash, instance: s.Instance}, admit.Lost
+	}
 	return lost(whyLost), admit.Lost
 }
 
+// noteCrash makes a request a suspect of the crash of a backend server.
+func (f *Front) noteCrash(r *request, at, instance string) {
+	f.Book.Crashed(at+"/"+instance, []poison.Request{{Service: r.service, Method: r.route.Name, Print: r.print}})
+}
+
+// crashed reports whether the backend server is gone after an answer was
+// lost. Each request that it took with it is a suspect of the crash.
+func (f *Front) crashed(ctx context.Context, s life.Server) bool {
+	if f.Server().Instance != s.Instance {
+		return false
+	}
+	if f.Server().State == life.Ready && !f.Backend.Refuses(ctx, f.App) {
+		return false
+	}
+	if f.Server().State == life.Leaving {
+		return false
+	}
+	f.Lost(s.Instance)
+	return true
+}
+
 // cleared lifts the suspicion from a request that ran well.
 func (f *Front) cleared(p poison.Print) {
 	if f.Book.State(p) == poison.Suspect {
--- a/front/rig_test.go
+++ b/front/rig_test.go
@@ -287,6 +287,7 @@
 	if err != nil {
 		return reply{err: err}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
 }
--- a/front/runs.go
+++ b/front/runs.go
@@ -1,10 +1,6 @@
 package front
 
-import (
-	"sync"
-
-	"sycamorespread.dev/poison"
-)
+import "sync"
 
 // runs holds the requests at the backend server by ID.
 type runs struct {
@@ -37,14 +33,3 @@
 	defer s.mu.Unlock()
 	return s.m[id]
 }
-
-// requests returns the fingerprints of all requests at the backend server.
-func (s *runs) requests() []poison.Request {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]poison.Request, 0, len(s.m))
-	for _, r := range s.m {
-		list = append(list, poison.Request{Service: r.service, Method: r.route.Name, Print: r.print})
-	}
-	return list
-}
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -21,6 +21,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Config holds the settings of a Pool.
@@ -171,6 +173,20 @@
 	}
 }
 
+// Refuses reports whether addr has no listener.
+func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+	c, err := p.dial(ctx, addr)
+	var dial *DialError
+	if errors.As(err, &dial) {
+		return dial.Refused
+	}
+	if err == nil {
+		c.idleSince = p.cfg.Now()
+		p.put(c)
+	}
+	return false
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -106,7 +106,7 @@
 	if err := x.send(); err != nil {
 		return nil, errors.Wrap(err, "send")
 	}
-	resp, err := x.header()
+	resp, err := x.header() //nolint:bodyclose // The body ends with its connection.
 	if err != nil {
 		return nil, errors.Wrap(err, "read the header")
 	}
--- /dev/null
+++ b/life/life_test.go
@@ -0,0 +1,120 @@
+package life_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sycamorespread.dev/life"
+)
+
+var addr = netip.MustParseAddrPort("127.0.0.1:80")
+
+func keeper() *life.Keeper {
+	return life.New(addr, time.Now, nil)
+}
+
+func report(id string, born, sequence int64, draining bool) life.Report {
+	return life.Report{Instance: id, Born: time.UnixMilli(born), Sequence: sequence, Addr: addr, Service: "s", Slots: 4, Draining: draining}
+}
+
+func TestReportsOfOneServer(t *testing.T) {
+	k := keeper()
+	if !k.Beat(report("a", 10, 2, false)) || k.Server().State != life.Ready {
+		t.Fatalf("%+v", k.Server())
+	}
+	k.Beat(report("a", 10, 3, true))
+	if k.Server().State != life.Leaving {
+		t.Error("a server that drains is not leaving")
+	}
+	k.Beat(report("a", 10, 1, false))
+	k.Beat(report("a", 10, 4, false))
+	if k.Server().State != life.Leaving {
+		t.Error("a report brought a leaving server back")
+	}
+	k.Beat(report("a", 20, 1, false))
+	if k.Server().State != life.Ready {
+		t.Error("a new start under the same ID is not ready")
+	}
+}
+
+// A report of the server before, held up on the way, arrives after the new one
+// has registered.
+func TestLateReportOfAnEarlierServer(t *testing.T) {
+	k := keeper()
+	k.Beat(report("new", 20, 1, false))
+	k.Beat(report("old", 10, 9, true))
+	k.Leave("old", time.UnixMilli(10))
+	if s := k.Server(); s.State != life.Ready || s.Instance != "new" {
+		t.Errorf("%+v", s)
+	}
+	k.Leave("new", time.UnixMilli(19))
+	if k.Server().State != life.Ready {
+		t.Error("a leave of an earlier start under the same ID counts")
+	}
+	k.Leave("new", time.Time{})
+	if k.Server().State != life.Leaving {
+		t.Error("a leave without a start does not count")
+	}
+}
+
+func TestStrangerAndLoss(t *testing.T) {
+	k := keeper()
+	r := report("a", 10, 1, false)
+	r.Addr = netip.MustParseAddrPort("127.0.0.2:80")
+	if k.Beat(r) || k.Server().State != life.Unknown {
+		t.Error("a report of another address was taken")
+	}
+	k.Found("a", "s", 4)
+	if k.Server().State != life.Ready {
+		t.Error("a server that was found is not ready")
+	}
+	k.Lost("other")
+	if k.Server().State != life.Ready {
+		t.Error("the loss of another server counts")
+	}
+	k.Lost("a")
+	if k.Server().State != life.Down {
+		t.Error("a lost server is not down")
+	}
+	k.Found("a", "s", 4)
+	if k.Server().State != life.Down {
+		t.Error("a health check brought a lost server back")
+	}
+	k.Beat(report("a", 10, 2, false))
+	if k.Server().State != life.Ready {
+		t.Error("its next report does not bring it back")
+	}
+}
+
+// Whatever the order, what counts in the end is the newest start, and a server
+// that said it leaves stays so.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := keeper()
+		var newest, left int64
+		for range rapid.IntRange(1, 20).Draw(t, "reports") {
+			born := rapid.Int64Range(1, 4).Draw(t, "born")
+			draining := rapid.Bool().Draw(t, "draining")
+			before := k.Server()
+			r := report("a", born, rapid.Int64Range(1, 5).Draw(t, "sequence"), draining)
+			counts := r.Born.After(before.Born) || r.Born.Equal(before.Born) && r.Sequence > before.Sequence
+			k.Beat(r)
+			if born > newest {
+				newest = born
+			}
+			if counts && draining {
+				left = born
+			}
+			s := k.Server()
+			if s.Born != time.UnixMilli(newest) {
+				t.Fatalf("start %d, want %d", s.Born.UnixMilli(), newest)
+			}
+			if (s.State == life.Leaving) != (left == newest) {
+				t.Fatalf("state %s, the newest start is %d and %d left", s.State, newest, left)
+			}
+		}
+	})
+}
