--- a/daemon/members.go
+++ b/daemon/members.go
@@ -25,6 +25,8 @@
 	seedTTL = 30 * time.Second
 	// seedEvery is the time between two renewals.
 	seedEvery = 10 * time.Second
+	// seedWait bounds the reading of the seeds, so that a platform that is away does not hold up a daemon that starts.
+	seedWait = 300 * time.Millisecond
 	// seedRetry is the pause after a renewal that failed.
 	seedRetry = time.Second
 	// joinEvery is the time between two tries to find a first member.
@@ -198,9 +200,11 @@
 	if d.platform == nil {
 		return list
 	}
+	ctx, cancel := context.WithTimeout(ctx, seedWait)
+	defer cancel()
 	items, err := d.platform.List(ctx, seedPrefix+d.cfg.Region+"/")
 	if err != nil {
-		d.log.WithField("err", err).Debug("seeds not read")
+		d.log.WithField("err", err).Info("seeds not read")
 		return list
 	}
 	for _, item := range items {
--- a/member/member.go
+++ b/member/member.go
@@ -111,7 +111,8 @@
 	// strangers are senders that are not members.
 	strangers []netip.AddrPort
 	// limit counts the bytes of gossip ticks.
-	limit  *rate.Limiter
+	limit *rate.Limiter
+	// relays holds the probes for others and the exchanges of a join.
 	relays errgroup.Group
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -23,6 +23,8 @@
 	mu    sync.Mutex
 	boxes map[netip.AddrPort]*box
 	cut   map[string]bool
+	// hang holds addresses whose exchanges end after a second, without an answer.
+	hang map[netip.AddrPort]bool
 }
 
 // box is the socket of one node.
@@ -83,6 +85,12 @@
 
 func (w *network) exchange(from netip.AddrPort) func(context.Context, netip.AddrPort, *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
 	return func(_ context.Context, to netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
+		w.mu.Lock()
+		hang := w.hang[to]
+		w.mu.Unlock()
+		if hang {
+			time.Sleep(time.Second)
+		}
 		other, ok := w.reach(from, to)
 		if !ok {
 			return nil, errClosed
@@ -207,6 +215,25 @@
 	}
 }
 
+// Seeds of daemons that are gone must not hold up a daemon that starts: all of
+// a fleet that was killed waited for them one after the other.
+func TestJoinPassesOverDeadSeeds(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	late := f.add(3, 1)
+	hang := netip.MustParseAddrPort("10.9.9.9:7")
+	f.net.mu.Lock()
+	f.net.hang = map[netip.AddrPort]bool{hang: true}
+	f.net.mu.Unlock()
+	start := time.Now()
+	if !late.node.Join(f.ctx, []netip.AddrPort{hang, hang, f.addrs[0]}) {
+		t.Fatal("not joined")
+	}
+	if took := time.Since(start); took > 100*time.Millisecond {
+		t.Errorf("joined after %s", took)
+	}
+}
+
 // sees reports whether a node takes one member for alive and another not.
 func (b *box) sees(up, gone string) bool {
 	alive := map[string]bool{b.node.Self().Id: true}
--- a/member/sync.go
+++ b/member/sync.go
@@ -34,16 +34,23 @@
 	}
 }
 
-// Join exchanges entries with the daemons at the given addresses and reports
-// whether any of them answered.
+// Join exchanges entries with the daemons at the given addresses, all at once,
+// and reports whether any of them answered. It returns at the first answer,
+// since some addresses may be of daemons that are gone.
 func (n *Node) Join(ctx context.Context, addrs []netip.AddrPort) bool {
-	joined := false
+	results := make(chan bool, len(addrs))
 	for _, a := range addrs {
-		if n.Sync(ctx, a) == nil {
-			joined = true
+		n.relays.Go(func() error {
+			results <- n.Sync(ctx, a) == nil
+			return nil
+		})
+	}
+	for range addrs {
+		if <-results {
+			return true
 		}
 	}
-	return joined
+	return false
 }
 
 // Sync exchanges entries with the daemon at addr: digests of each zone first,
