--- a/front/contact.go
+++ b/front/contact.go
@@ -12,6 +12,8 @@
 const (
 	// silentAfter is how long a peer with open requests may say nothing before it is probed.
 	silentAfter = 150 * time.Millisecond
+	// doubtAfter is how long a request waited that was given up without a word of the peer, for the peer to be probed.
+	doubtAfter = 80 * time.Millisecond
 	// contactEvery is the time between two looks for silent peers.
 	contactEvery = 50 * time.Millisecond
 	// returnEvery is the time between two probes of a silent peer.
@@ -39,7 +41,9 @@
 	open  map[*sent]struct{}
 	// probing tells that a probe is on its way; silent that the last one was not answered.
 	probing, silent bool
-	probed          time.Time
+	// doubt tells that a request was given up to which the peer said nothing.
+	doubt  bool
+	probed time.Time
 }
 
 // sent is one request that waits for its answer.
@@ -77,8 +81,12 @@
 	defer c.mu.Unlock()
 	p := c.of(id)
 	delete(p.open, s)
-	if heard {
+	switch {
+	case heard:
 		p.heard = now
+	case now.Sub(s.began) >= doubtAfter && p.heard.Before(s.began):
+		// Given up before the peer was due for a probe.
+		p.doubt = true
 	}
 }
 
@@ -105,6 +113,9 @@
 	if now.Sub(p.heard) < silentAfter {
 		return false
 	}
+	if p.doubt {
+		return true
+	}
 	for s := range p.open {
 		if now.Sub(s.began) >= silentAfter {
 			return true
@@ -120,6 +131,7 @@
 	defer c.mu.Unlock()
 	p := c.of(id)
 	p.probing = false
+	p.doubt = false
 	if reached || p.heard.After(began) {
 		p.heard = now
 		changed := p.silent
--- a/front/deep.go
+++ b/front/deep.go
@@ -12,6 +12,8 @@
 const (
 	// deepKeep is how long a call counts as one that a route's runs make.
 	deepKeep = 2 * time.Second
+	// blockedFor is how long a route is closed after a call of its runs found no instance; then runs try again.
+	blockedFor = 500 * time.Millisecond
 	// servedKeep is how long the level of a route is told after its last run.
 	servedKeep = 10 * time.Second
 )
@@ -23,6 +25,8 @@
 	m  map[string]map[call]time.Time
 	// served holds when each route was last run here.
 	served map[string]time.Time
+	// blocked holds when a call last found no instance of its service.
+	blocked map[call]time.Time
 }
 
 // call is a kind of call that runs make.
@@ -31,7 +35,7 @@
 }
 
 func newDeep() *deep {
-	return &deep{m: map[string]map[call]time.Time{}, served: map[string]time.Time{}}
+	return &deep{m: map[string]map[call]time.Time{}, served: map[string]time.Time{}, blocked: map[call]time.Time{}}
 }
 
 // called notes that a run of a route made a call.
@@ -44,6 +48,13 @@
 	d.m[by][c] = now
 }
 
+// block notes that a call found no instance of its service.
+func (d *deep) block(c call, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.blocked[c] = now
+}
+
 // runs notes that a run of a route began.
 func (d *deep) runs(by string, now time.Time) {
 	d.mu.Lock()
@@ -84,6 +95,10 @@
 			delete(d.m[by], c)
 			continue
 		}
+		if now.Sub(d.blocked[c]) < blockedFor {
+			// No run of the route could end well.
+			return 0
+		}
 		level = min(level, t.Level(c.service, c.route))
 	}
 	return level
--- a/front/entry.go
+++ b/front/entry.go
@@ -176,8 +176,11 @@
 	case whyDial, whyLost, whyDown, whyMoved, whyLeaving:
 		try.Fail(true)
 		return
-	case whyGone, whyTimeout, whySlow:
-		try.Slow(took)
+	case whyGone, whyTimeout:
+		try.Slow(took, false)
+		return
+	case whySlow:
+		try.Slow(took, true)
 		return
 	case whySilent:
 		try.Fail(false)
@@ -219,6 +222,9 @@
 	if errors.As(err, &shed) {
 		return final{status: http.StatusServiceUnavailable, why: whyShed, after: f.pause(r)}
 	}
+	if r.own {
+		f.deep.block(call{service: r.service, route: r.route.Name}, f.Now())
+	}
 	return final{status: http.StatusServiceUnavailable, why: whyNoServer, after: afterNoServer}
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -468,3 +468,39 @@
 		t.Errorf("another request: %+v", got)
 	}
 }
+
+// A zone that is cut off may have no instance of a deep service. Requests that
+// need it are then refused before they run, in place of failing halfway.
+func TestNoInstanceOfADeeperService(t *testing.T) {
+	inner := view
+	inner.Name, inner.Prefix, inner.Rank = "inner", "/inner/", 1
+	inner.Parts = []policy.Part{{Service: "other", Weight: 1}}
+	r := newRig(t, pay, inner)
+	entry, mid := r.add("dues"), r.add("plots")
+	mid.on(func(w net.Conn, req *http.Request, body string) bool {
+		if got := mid.ask("GET", "/inner/x", req.Header.Get(names.RequestID)+".1", ""); got.status != 200 {
+			answer(w, req, 500, "")
+			return true
+		}
+		return whole(w, req, body)
+	})
+	statuses := map[int]int{}
+	for n := range 20 {
+		statuses[entry.ask("POST", "/pay/x", fmt.Sprintf("r%d", n), "").status]++
+	}
+	if mid.runs.Load() > 3 || statuses[503] < 17 {
+		t.Errorf("%d runs that could not end well, answers %v", mid.runs.Load(), statuses)
+	}
+	r.add("other")
+	// The entry holds the level that it heard for up to a second.
+	time.Sleep(1200 * time.Millisecond)
+	served := 0
+	for n := range 10 {
+		if entry.ask("POST", "/pay/x", fmt.Sprintf("s%d", n), "").status == 200 {
+			served++
+		}
+	}
+	if served < 9 {
+		t.Errorf("%d of 10 served once there is an instance", served)
+	}
+}
