daemon: levels and burn of routes for operators; the policy's owner is named

sycctl levels lists what a daemon knows of each instance and route; burn counts routes by their target; propose, review and accept say where the policy of such a deployment is kept.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"sycamorespread.dev/burn"
 	"sycamorespread.dev/front"
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/life"
@@ -43,6 +44,9 @@
 	slotShare = 0.95
 	// askEvery is the time between two health checks of a server that said nothing yet.
 	askEvery = 250 * time.Millisecond
+	// routeObjective is the share of requests of a route to be answered within its target; the operator's
+	// configuration names none.
+	routeObjective = 0.99
 	// sweepEvery is the time between two rounds that close idle connections.
 	sweepEvery = 2 * time.Second
 	// announceAfter is how long a stopping daemon waits until it announces that it takes no new work,
@@ -97,6 +101,7 @@
 		Book:     d.book,
 		Peers:    d.hops,
 		Backend:  d.app,
+		Served:   d.burnRoute,
 		Stats:    d.stats,
 		Log:      d.log,
 		Now:      time.Now,
@@ -270,6 +275,12 @@
 	d.log.WithFields(logrus.Fields{"instance": id, "err": err}).Warn("message of a backend server cannot be used")
 }
 
+// burnRoute counts a request of a route for the burn report.
+func (d *Daemon) burnRoute(r *policy.Route, service string, inTime bool) {
+	m := burn.Method{Service: service, Name: r.Name, Class: fmt.Sprintf("rank %d", r.Rank)}
+	d.report.Record(m, routeObjective, inTime)
+}
+
 // serveReady answers whether callers should be sent to this daemon.
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if d.leaving.Load() || !d.joined.Load() || d.holder.Policy() == nil {
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -31,7 +31,13 @@
 	burnFan = 32
 )
 
+// needPlatform returns an error unless policies are changed through this
+// daemon.
 func (d *Daemon) needPlatform() error {
+	if d.front != nil {
+		return connect.NewError(connect.CodeFailedPrecondition,
+			errors.Errorf("the policy of this deployment is the configuration that its operator keeps in the platform under %q; change it there", d.links.PolicyKey))
+	}
 	if d.registry == nil {
 		return connect.NewError(connect.CodeFailedPrecondition, errors.New("the settings of this daemon name no platform; ask another daemon"))
 	}
@@ -318,6 +324,11 @@
 	return connect.NewResponse(&sycapb.LeaveReply{Inflight: uint32(d.inflight.Load())}), nil
 }
 
+// Levels implements the schema's Operator service.
+func (d *Daemon) Levels(context.Context, *connect.Request[sycapb.LevelsRequest]) (*connect.Response[sycapb.LevelsReply], error) {
+	return connect.NewResponse(&sycapb.LevelsReply{Rows: d.table.Views()}), nil
+}
+
 // Metrics implements the schema's Operator service.
 func (d *Daemon) Metrics(context.Context, *connect.Request[sycapb.MetricsRequest]) (*connect.Response[sycapb.MetricsReply], error) {
 	d.gauges()
--- a/front/entry.go
+++ b/front/entry.go
@@ -54,11 +54,14 @@
 	}
 	ans, fin := f.forward(hr.Context(), r)
 	if ans == nil {
+		f.served(r, false)
 		f.refuse(w, r, fin)
 		return
 	}
 	r.log.status = ans.status
-	f.latency.add(r.route.Name, f.Now().Sub(r.arrived))
+	took := f.Now().Sub(r.arrived)
+	f.latency.add(r.route.Name, took)
+	f.served(r, ans.status < http.StatusInternalServerError && took <= r.route.Target)
 	f.logEntry(r, "answered")
 	if f.Stopping() {
 		w.Header().Set("Connection", "close")
@@ -67,6 +70,14 @@
 	ans.write(w)
 }
 
+// served reports how a request of a caller ended; calls of backend servers
+// count with the request that caused them.
+func (f *Front) served(r *request, inTime bool) {
+	if !r.own && f.Served != nil {
+		f.Served(r.route, r.service, inTime)
+	}
+}
+
 // accept reads a request and finds its route.
 func (f *Front) accept(w http.ResponseWriter, hr *http.Request) (*request, *final) {
 	now := f.Now()
--- a/front/front.go
+++ b/front/front.go
@@ -87,8 +87,10 @@
 	Book *poison.Book
 	// Peers and Backend hold the connections to other Fronts and to the backend server.
 	Peers, Backend *httpc.Pool
-	Stats          *stats.Set
-	Log            *logrus.Entry
+	// Served is called with each request of a caller that ended, and whether it was answered in time.
+	Served func(r *policy.Route, service string, inTime bool)
+	Stats  *stats.Set
+	Log    *logrus.Entry
 	// Now reads a clock that never goes back.
 	Now func() time.Time
 }
--- a/sycapb/oper.connect.go
+++ b/sycapb/oper.connect.go
@@ -54,6 +54,8 @@
 	OperatorLeaveProcedure = "/syca.v1.Operator/Leave"
 	// OperatorMetricsProcedure is the fully-qualified name of the Operator's Metrics RPC.
 	OperatorMetricsProcedure = "/syca.v1.Operator/Metrics"
+	// OperatorLevelsProcedure is the fully-qualified name of the Operator's Levels RPC.
+	OperatorLevelsProcedure = "/syca.v1.Operator/Levels"
 )
 
 // OperatorClient is a client for the syca.v1.Operator service.
@@ -69,6 +71,7 @@
 	Lift(context.Context, *connect.Request[LiftRequest]) (*connect.Response[LiftReply], error)
 	Leave(context.Context, *connect.Request[LeaveRequest]) (*connect.Response[LeaveReply], error)
 	Metrics(context.Context, *connect.Request[MetricsRequest]) (*connect.Response[MetricsReply], error)
+	Levels(context.Context, *connect.Request[LevelsRequest]) (*connect.Response[LevelsReply], error)
 }
 
 // NewOperatorClient constructs a client for the syca.v1.Operator service. By default, it uses the
@@ -148,6 +151,12 @@
 			connect.WithSchema(operatorMethods.ByName("Metrics")),
 			connect.WithClientOptions(opts...),
 		),
+		levels: connect.NewClient[LevelsRequest, LevelsReply](
+			httpClient,
+			baseURL+OperatorLevelsProcedure,
+			connect.WithSchema(operatorMethods.ByName("Levels")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -164,6 +173,7 @@
 	lift       *connect.Client[LiftRequest, LiftReply]
 	leave      *connect.Client[LeaveRequest, LeaveReply]
 	metrics    *connect.Client[MetricsRequest, MetricsReply]
+	levels     *connect.Client[LevelsRequest, LevelsReply]
 }
 
 // Propose calls syca.v1.Operator.Propose.
@@ -221,6 +231,11 @@
 	return c.metrics.CallUnary(ctx, req)
 }
 
+// Levels calls syca.v1.Operator.Levels.
+func (c *operatorClient) Levels(ctx context.Context, req *connect.Request[LevelsRequest]) (*connect.Response[LevelsReply], error) {
+	return c.levels.CallUnary(ctx, req)
+}
+
 // OperatorHandler is an implementation of the syca.v1.Operator service.
 type OperatorHandler interface {
 	Propose(context.Context, *connect.Request[ProposeRequest]) (*connect.Response[ProposeReply], error)
@@ -234,6 +249,7 @@
 	Lift(context.Context, *connect.Request[LiftRequest]) (*connect.Response[LiftReply], error)
 	Leave(context.Context, *connect.Request[LeaveRequest]) (*connect.Response[LeaveReply], error)
 	Metrics(context.Context, *connect.Request[MetricsRequest]) (*connect.Response[MetricsReply], error)
+	Levels(context.Context, *connect.Request[LevelsRequest]) (*connect.Response[LevelsReply], error)
 }
 
 // NewOperatorHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -309,6 +325,12 @@
 		connect.WithSchema(operatorMethods.ByName("Metrics")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorLevelsHandler := connect.NewUnaryHandler(
+		OperatorLevelsProcedure,
+		svc.Levels,
+		connect.WithSchema(operatorMethods.ByName("Levels")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/syca.v1.Operator/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorProposeProcedure:
@@ -333,6 +355,8 @@
 			operatorLeaveHandler.ServeHTTP(w, r)
 		case OperatorMetricsProcedure:
 			operatorMetricsHandler.ServeHTTP(w, r)
+		case OperatorLevelsProcedure:
+			operatorLevelsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -385,3 +409,7 @@
 func (UnimplementedOperatorHandler) Metrics(context.Context, *connect.Request[MetricsRequest]) (*connect.Response[MetricsReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("syca.v1.Operator.Metrics is not implemented"))
 }
+
+func (UnimplementedOperatorHandler) Levels(context.Context, *connect.Request[LevelsRequest]) (*connect.Response[LevelsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("syca.v1.Operator.Levels is not implemented"))
+}
--- a/sycctl/state.go
+++ b/sycctl/state.go
@@ -14,7 +14,7 @@
 )
 
 func (c *client) stateCommands() []*cobra.Command {
-	return []*cobra.Command{c.members(), c.burn(), c.quarantine(), c.lift(), c.drain(), c.metrics()}
+	return []*cobra.Command{c.members(), c.burn(), c.quarantine(), c.lift(), c.drain(), c.metrics(), c.levels()}
 }
 
 func (c *client) members() *cobra.Command {
@@ -134,6 +134,27 @@
 	return cmd
 }
 
+func (c *client) levels() *cobra.Command {
+	cmd := &cobra.Command{Use: "levels", Short: "List what the daemon knows of the instances it calls", Args: cobra.NoArgs}
+	cmd.RunE = func(*cobra.Command, []string) error {
+		_, err := call(c, func(o sycapb.OperatorClient) func(context.Context, *connect.Request[sycapb.LevelsRequest]) (*connect.Response[sycapb.LevelsReply], error) {
+			return o.Levels
+		}, &sycapb.LevelsRequest{}, func(r *sycapb.LevelsReply) {
+			var lines []string
+			for _, l := range r.Rows {
+				lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%s\t%.2f\t%dms\t%.2f\t%.0f\t%.2f\t%t\t%t",
+					l.Service, l.Id, l.Zone, l.Method, float64(l.Level)/keysPerRank, l.AgeMs, l.Fill, l.TookMs, l.Failed, l.Silent, l.Avoided))
+			}
+			rows("SERVICE\tID\tZONE\tMETHOD\tLEVEL\tAGE\tFILL\tTOOK MS\tFAILED\tSILENT\tAVOIDED", lines)
+		})
+		return err
+	}
+	return cmd
+}
+
+// keysPerRank is the number of admission keys of one rank; a level is shown in ranks.
+const keysPerRank = 65536
+
 func (c *client) metrics() *cobra.Command {
 	cmd := &cobra.Command{Use: "metrics", Short: "Print the metrics of the daemon", Args: cobra.NoArgs}
 	cmd.RunE = func(*cobra.Command, []string) error {
