--- a/front/entry.go
+++ b/front/entry.go
@@ -231,6 +231,7 @@
 	}
 	var shed *route.ShedError
 	if errors.As(err, &shed) {
+		r.log.level, r.log.levelAge, r.log.leveled = shed.Level, shed.Age, true
 		return final{status: http.StatusServiceUnavailable, why: whyShed, after: f.pause(r)}
 	}
 	if r.own {
@@ -268,6 +269,7 @@
 // refuse answers a caller in the entry's own words.
 func (f *Front) refuse(w http.ResponseWriter, r *request, fin final) {
 	r.log.status = fin.status
+	r.log.after = fin.after
 	f.logEntry(r, fin.why)
 	h := w.Header()
 	h["Date"] = nil
--- a/front/trace.go
+++ b/front/trace.go
@@ -5,12 +5,20 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"sycamorespread.dev/action"
 )
 
 // trace collects what a request went through, for its log line.
 type trace struct {
 	status int
 	sends  []string
+	// after is the pause that the caller was advised.
+	after time.Duration
+	// level and its age decided a refusal at the entry when leveled is set.
+	leveled  bool
+	level    action.Level
+	levelAge time.Duration
 }
 
 // add notes one send.
@@ -42,6 +50,13 @@
 	fields["revision"] = r.revision
 	fields["key"] = uint32(r.key)
 	fields["own"] = r.own
+	if r.log.after > 0 {
+		fields["retry_after_ms"] = r.log.after.Milliseconds()
+	}
+	if r.log.leveled {
+		fields["admits"] = uint32(r.log.level)
+		fields["admits_age_ms"] = r.log.levelAge.Milliseconds()
+	}
 	if len(r.log.sends) > 0 {
 		fields["sends"] = strings.Join(r.log.sends, ",")
 	}
@@ -63,7 +78,7 @@
 	fields["running"] = a.load.running
 	fields["queued"] = a.load.queued
 	fields["limit"] = a.load.limit
-	fields["level"] = uint32(f.Gate.Level())
+	fields["admits"] = uint32(f.Gate.Level())
 	fields["key"] = uint32(r.key)
 	fields["instance"] = f.Server().Instance
 	f.Log.WithFields(fields).Info("run")
--- a/route/route.go
+++ b/route/route.go
@@ -90,6 +90,9 @@
 type ShedError struct {
 	Service    string
 	RetryAfter time.Duration
+	// Level is the highest that was heard of the candidates, Age how long ago.
+	Level action.Level
+	Age   time.Duration
 }
 
 func (e *ShedError) Error() string {
@@ -202,7 +205,8 @@
 		return t.try(mildest(up, req.Method, now), req.Method), nil
 	}
 	if len(open) == 0 {
-		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter}
+		level, age := latest(up, req.Method, now)
+		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter, Level: level, Age: age}
 	}
 	return t.try(t.choose(open, req.Method, now), req.Method), nil
 }
@@ -304,6 +308,20 @@
 	return best, known
 }
 
+// latest returns the highest level of the candidates and the age of the note
+// that was heard last.
+func latest(list []*state, method string, now time.Time) (action.Level, time.Duration) {
+	var best action.Level
+	age := levelHold + levelFade
+	for _, s := range list {
+		if n, ok := s.levels[method]; ok {
+			best = max(best, n.level)
+			age = min(age, now.Sub(n.at))
+		}
+	}
+	return best, age
+}
+
 // mildest returns the candidate with the highest level.
 func mildest(list []*state, method string, now time.Time) *state {
 	best := list[0]
