--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -18,7 +18,9 @@
 
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/daemon"
+	"sycamorespread.dev/life"
 	"sycamorespread.dev/platform"
+	"sycamorespread.dev/policy"
 	"sycamorespread.dev/store"
 )
 
@@ -173,11 +175,21 @@
 
 // configure writes the operator's configuration at a version, with one route
 // to the service.
-func (s *site) configure(version int, service string) {
-	s.shelf.put(platform.PolicyKey, fmt.Sprintf(`{"version":"r%d","routes":[{"name":"r-%s","host":"h.example","path_prefix":"/x/","kind":"non_idempotent",
-"timeout_ms":1500,"target_latency_ms":1000,"priority":1,"service":"%s","max_attempts":2}],
-"services":[{"name":"one","health_check_path":"/health","max_connections":50},{"name":"two","health_check_path":"/health","max_connections":50}],
-"limits":{"max_body_bytes":100000}}`, version, service, service))
+func (s *site) configure(version uint64, service string) {
+	r := policy.Route{
+		Name: "r-" + service, Host: "h.example", Prefix: "/x/", Rank: 1, Attempts: 2,
+		Timeout: 1500 * time.Millisecond, Target: time.Second, Parts: []policy.Part{{Service: service, Weight: 1}},
+	}
+	services := []policy.Service{{Name: "one", Health: "/health", Connections: 50}, {Name: "two", Health: "/health", Connections: 50}}
+	table, err := policy.NewTable([]policy.Route{r}, services, policy.Limits{Body: 100_000})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	text, err := platform.EncodePolicy(version, table)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.shelf.put(platform.PolicyKey, text)
 }
 
 func (s *site) add(service string) *side {
@@ -247,14 +259,15 @@
 	n.run()
 }
 
-func (n *side) beat(sequence int, state string) int {
-	body := fmt.Sprintf(`{"address":"%s","born":1000,"info":{"service":"%s","slots":4,"zone":"z"},"status":{"state":"%s","sequence":%d}}`, n.app, n.service, state, sequence)
-	resp, err := http.Post("http://"+n.control+"/instances/i-"+n.id+"/heartbeat", "application/json", strings.NewReader(body))
+func (n *side) beat(sequence int64, slots int, draining bool) int {
+	status, err := platform.AnnounceHeartbeat(context.Background(), http.DefaultClient, netip.MustParseAddrPort(n.control), life.Report{
+		Instance: "i-" + n.id, Born: time.UnixMilli(1000), Sequence: sequence, Addr: netip.MustParseAddrPort(n.app),
+		Service: n.service, Zone: "z", Slots: slots, Draining: draining,
+	})
 	if err != nil {
 		return 0
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode
+	return status
 }
 
 // ask sends one request to a daemon.
@@ -360,10 +373,10 @@
 	s.configure(7, "two")
 	one, two := s.add("one"), s.add("two")
 	s.served(5*time.Second, one, "two")
-	if got := two.beat(1, "ready"); got != 200 {
+	if got := two.beat(1, 4, false); got != 200 {
 		t.Fatalf("heartbeat answered %d", got)
 	}
-	if got := two.beat(2, "draining"); got != 200 {
+	if got := two.beat(2, 4, true); got != 200 {
 		t.Fatalf("leave answered %d", got)
 	}
 	before := two.runs.Load()
@@ -375,8 +388,8 @@
 	if got := two.runs.Load(); got != before {
 		t.Errorf("%d requests reached a server that left", got-before)
 	}
-	if got := two.beat(3, "odd"); got != 400 {
-		t.Errorf("a report with an unknown state was answered %d", got)
+	if got := two.beat(3, 0, false); got != 400 {
+		t.Errorf("a report without slots was answered %d", got)
 	}
 }
 
