bench: a fault soak on the users' platform

The real programs as separate processes, with faults from outside: signals, doors that delay, hold, cut one way or reset connections between daemons, to the store and to backend servers; a store that is down, slow, or loses answers; backend servers that crash, drain, turn slow or garble. Checked while it runs: whole answers, at most once, true refusals, leaving, revisions that never fall, and recovery.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo bench prove slopes generate lint fmt fmt-check
+.PHONY: build test demo bench prove soak slopes generate lint fmt fmt-check
 
 MODULES = . bench stand sycctl sycd sycload
 PROGRAMS = sycd sycctl sycload stand bench
@@ -23,6 +23,9 @@
 prove: build
 	@bin/bench prove --seed $(SEED) --duration $(DURATION)
 
+soak: build
+	@bin/bench soak --seed $(SEED) --duration $(DURATION)
+
 slopes: build
 	@bin/bench slopes
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -5,6 +5,7 @@
 //	bench demo    a short run with a policy change
 //	bench surge   the overload scene against two baselines
 //	bench prove   a long randomised mix of all faults
+//	bench soak    randomized faults on the users' platform
 //	bench slopes  control cost by the number of daemons
 package main
 
@@ -39,7 +40,7 @@
 		}
 		return freePort()
 	}
-	root.AddCommand(demoCommand(&bin, &dir), surgeCommand(&bin, &dir), proveCommand(&bin, &dir), slopesCommand(&bin, &dir))
+	root.AddCommand(demoCommand(&bin, &dir), surgeCommand(&bin, &dir), proveCommand(&bin, &dir), slopesCommand(&bin, &dir), soakCommand(&bin, &dir))
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
--- a/config/config.go
+++ b/config/config.go
@@ -87,6 +87,8 @@
 	Outbound netip.AddrPort
 	// Inbound takes requests of other daemons.
 	Inbound netip.AddrPort
+	// Advertise is what other daemons use in place of Inbound, as behind a relay.
+	Advertise netip.AddrPort
 	// Ready answers whether callers should be sent here.
 	Ready netip.AddrPort
 	// Control takes what the backend server says of itself.
@@ -183,6 +185,10 @@
 	c.Front.Outbound = r.addr("front", "outbound", optional)
 	need := need(c.Front.Enabled())
 	c.Front.Inbound = r.addr("front", "inbound", need)
+	c.Front.Advertise = r.addr("front", "advertise", optional)
+	if !c.Front.Advertise.IsValid() {
+		c.Front.Advertise = c.Front.Inbound
+	}
 	c.Front.Ready = r.addr("front", "ready", need)
 	c.Front.Control = r.addr("front", "control", need)
 	c.Front.Metrics = r.addr("front", "metrics", optional)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -72,7 +72,7 @@
 	if !d.cfg.Front.Enabled() {
 		return ""
 	}
-	return d.cfg.Front.Inbound.String()
+	return d.cfg.Front.Advertise.String()
 }
 
 func (d *Daemon) exchange(ctx context.Context, addr netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
