--- a/daemon/front.go
+++ b/daemon/front.go
@@ -64,6 +64,8 @@
 	DecodePolicy func(text string) (*policy.Policy, error)
 	// Headers names the header fields of HTTP requests.
 	Headers front.Headers
+	// Dropped returns the number of log lines that were dropped, nil when it is not known.
+	Dropped func() int64
 	// Heartbeats serves what the backend server says of itself.
 	Heartbeats func(Beats) http.Handler
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -358,5 +358,13 @@
 		values["platform.writes"] = float64(c.Writes)
 		values["platform.watches"] = float64(c.Watches)
 	}
+	if d.front != nil {
+		values["front.dials_server"] = float64(d.app.Dials())
+		values["front.dials_peer"] = float64(d.hops.Dials())
+		values["front.inflight"] = float64(d.front.Inflight())
+	}
+	if d.links.Dropped != nil {
+		values["log.dropped"] = float64(d.links.Dropped())
+	}
 	d.stats.Gauges(values)
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -504,3 +504,34 @@
 		t.Errorf("%d of 10 served once there is an instance", served)
 	}
 }
+
+// The lines of one request tell each instance it was sent to and why it went
+// on from there.
+func TestLogTellsTheWayOfARequest(t *testing.T) {
+	r := newRig(t, view, pay)
+	entry, a, b := r.add("dues"), r.add("plots"), r.add("plots")
+	bad := func(net.Conn, *http.Request, string) bool { return false }
+	a.on(bad)
+	for n := range 12 {
+		entry.ask("GET", "/view/x", fmt.Sprintf("way-%d", n), "")
+	}
+	moved := r.lines.of("msg=request", "i1:lost,i2:answered")
+	if len(moved) == 0 {
+		t.Fatalf("no line tells of a send to two instances: %v", r.lines.of("msg=request"))
+	}
+	id := moved[0][strings.Index(moved[0], "request=way-"):]
+	id = id[:strings.IndexByte(id, ' ')+1]
+	if got := r.lines.of(id, "msg=run", "outcome=lost"); len(got) != 1 {
+		t.Errorf("runs that were lost: %v", got)
+	}
+	if got := r.lines.of(id, "answer of the backend server lost", "err="); len(got) != 1 {
+		t.Errorf("causes: %v", got)
+	}
+	if got := r.lines.of(id, "msg=run", "outcome=answered", "limit=8", "waited_ms="); len(got) != 1 {
+		t.Errorf("runs that were answered: %v", got)
+	}
+	b.on(bad)
+	if entry.ask("POST", "/pay/x", "lost-pay", ""); len(r.lines.of("request=lost-pay", "msg=request", "status=502", "outcome=lost")) != 1 {
+		t.Errorf("lines of a lost payment: %v", r.lines.of("request=lost-pay"))
+	}
+}
--- a/front/rig_test.go
+++ b/front/rig_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -152,6 +153,35 @@
 	table *policy.Table
 	reach func(id string) bool
 	close []func()
+	lines lines
+}
+
+// lines keeps what was logged.
+type lines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, string(b))
+	return len(b), nil
+}
+
+// of returns the lines that contain all the words.
+func (l *lines) of(words ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, line := range l.all {
+		missing := slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) })
+		if !missing {
+			found = append(found, line)
+		}
+	}
+	return found
 }
 
 func newRig(t *testing.T, routes ...policy.Route) *rig {
@@ -205,7 +235,8 @@
 	i.gate = admit.New(admit.Config{Slots: 8, Now: time.Now})
 	i.keeper = life.New(i.addr(), time.Now, nil)
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(&r.lines)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
 	i.Front = front.New(front.Config{
 		Self: i.id, Zone: "z", Service: service, App: i.addr(), Headers: names,
 		Policy: r.policy, Server: i.keeper.Server, Lost: i.keeper.Lost,
--- a/sycd/main.go
+++ b/sycd/main.go
@@ -70,7 +70,7 @@
 	defer stop()
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
-	d, err := daemon.New(cfg, log.WithFields(logrus.Fields{"id": cfg.ID, "zone": cfg.Zone}), links())
+	d, err := daemon.New(cfg, log.WithFields(logrus.Fields{"id": cfg.ID, "zone": cfg.Zone}), links(out))
 	if err != nil {
 		return err
 	}
@@ -95,8 +95,9 @@
 }
 
 // links connects the daemon to the users' platform.
-func links() daemon.Links {
+func links(out *logs.Writer) daemon.Links {
 	return daemon.Links{
+		Dropped:      out.Dropped,
 		Transport:    platform.NewTransport,
 		PolicyKey:    platform.PolicyKey,
 		DecodePolicy: platform.DecodePolicy,
