front: a request to the own server ends at its deadline; a cold server uses all its slots

Cause: a request that the entry ran at the backend server beside it had no deadline of its own: when the server went silent it was never answered (the test gave 502 after 1.5 s, with a server that never closes it hangs). A stop is now bounded to 5 s. After a restart of all the gate of a cold server began at a fifth of its slots, and closed its level before the first run had ended; both tests fail without the change.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -294,3 +294,19 @@
 		t.Fatalf("queued=%d err=%v", s.Queued, e.err)
 	}
 }
+
+// After a restart of all, a full queue at a server that has not answered yet
+// once closed the level for everyone.
+func TestColdGateKeepsItsLevel(t *testing.T) {
+	b := newBench(4)
+	defer b.close()
+	for range 40 {
+		b.enter(1, time.Minute)
+	}
+	b.c.add(admit.TickEvery)
+	b.g.Tick()
+	b.collect()
+	if b.g.Level() != action.Open {
+		t.Fatalf("level %d before the first run ended", b.g.Level())
+	}
+}
--- a/admit/control.go
+++ b/admit/control.go
@@ -134,6 +134,10 @@
 	limit := float64(g.limit(now))
 	c.idle += idleWeight * (max(0, 1-float64(g.inflight)/limit) - c.idle)
 	capacity := g.capacity(now)
+	if capacity == 0 {
+		// Nothing has run yet, so that nothing is known of what fits.
+		return
+	}
 	target := max(2, capacity*waitTarget.Seconds())
 	over := float64(g.queue.len()) - target
 	switch {
--- a/config/config.go
+++ b/config/config.go
@@ -193,7 +193,7 @@
 	c.Front.Control = r.addr("front", "control", need)
 	c.Front.Metrics = r.addr("front", "metrics", optional)
 	c.Front.StopWait = r.duration("front", "stop_wait", 2500*time.Millisecond, 0, time.Minute)
-	c.Front.StopMost = r.duration("front", "stop_most", 5500*time.Millisecond, 0, 5*time.Minute)
+	c.Front.StopMost = r.duration("front", "stop_most", 5*time.Second, 0, 5*time.Minute)
 }
 
 type need bool
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -88,7 +88,6 @@
 	d.app = httpc.New(httpc.Config{DialTimeout: dialServerMost, Idle: idleServerMost, MaxIdle: maxIdleServer, Now: time.Now})
 	d.front = front.New(front.Config{
 		Self:     d.cfg.ID,
-		Zone:     d.cfg.Zone,
 		Service:  d.cfg.Service,
 		App:      d.cfg.Server,
 		Headers:  d.links.Headers,
@@ -255,7 +254,8 @@
 		"sequence": s.Sequence, "born": s.Born.UnixMilli(), "cold": time.Until(s.ColdUntil).Round(time.Millisecond),
 	}).Info("backend server")
 	if up {
-		d.gate.Refit(max(1, int(slotShare*float64(s.Slots))), max(0, time.Until(s.ColdUntil)))
+		// A cold server runs slower in all its slots; the gate learns its run times.
+		d.gate.Refit(max(1, int(slotShare*float64(s.Slots))), 0)
 		d.app.Forget(d.cfg.Server)
 	}
 	d.down.Store(!up)
--- a/front/front.go
+++ b/front/front.go
@@ -59,8 +59,8 @@
 
 // Config holds what a Front needs.
 type Config struct {
-	// Self is the ID of this instance, Zone its availability zone.
-	Self, Zone string
+	// Self is the ID of this instance.
+	Self string
 	// Service is the service of this instance as the settings have it.
 	Service string
 	// App is the address of the backend server.
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -298,6 +298,24 @@
 	}
 }
 
+// The backend server beside the entry is no exception: a request that it holds
+// was never answered.
+func TestAnswerOfTheOwnServerComesAtTheTimeout(t *testing.T) {
+	short := pay
+	short.Timeout = 150 * time.Millisecond
+	r := newRig(t, short)
+	own := r.add("plots")
+	own.on(func(net.Conn, *http.Request, string) bool {
+		time.Sleep(1500 * time.Millisecond)
+		return false
+	})
+	began := time.Now()
+	got := own.ask("POST", "/pay/x", "r1", "")
+	if took := time.Since(began); got.status != 504 || took > 400*time.Millisecond {
+		t.Errorf("status %d after %s", got.status, took)
+	}
+}
+
 func TestCallerThatLeavesStopsTheRun(t *testing.T) {
 	r := newRig(t, view)
 	entry, far := r.add("dues"), r.add("plots")
--- a/front/hop.go
+++ b/front/hop.go
@@ -25,7 +25,7 @@
 	hopOrigin  = hopPrefix + "Origin"
 	hopKey     = hopPrefix + "Key"
 	hopPrint   = hopPrefix + "Print"
-	// hopLeft is the time left, hopTarget the time within which the answer has its value, in microseconds.
+	// hopLeft is the time left, in microseconds.
 	hopLeft   = hopPrefix + "Left"
 	hopRepeat = hopPrefix + "Repeat"
 	hopAgain  = hopPrefix + "Again"
@@ -51,7 +51,7 @@
 // backend server.
 func (f *Front) send(ctx context.Context, r *request, to route.Target) *answer {
 	if to.ID == f.Self {
-		return f.run(ctx, r)
+		return f.runUntil(ctx, r)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(hopGrace))
 	ctx, silence := context.WithCancelCause(ctx)
@@ -206,6 +206,7 @@
 	h.Set(hopTimes, fmt.Sprintf("%d,%d", a.waited.Microseconds(), a.ran.Microseconds()))
 	h.Set(hopInstance, a.instance)
 	if a.outcome != answered {
+		defer a.done()
 		h.Set("Content-Length", "0")
 		w.WriteHeader(http.StatusOK)
 		return
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -36,9 +36,22 @@
 		refusal(whyGone).encodeHop(w)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), a.deadline.Add(serverGrace))
-	defer cancel()
-	f.run(ctx, a.request).encodeHop(w)
+	f.runUntil(r.Context(), a.request).encodeHop(w)
+}
+
+// runUntil runs a request until its deadline and a moment more, in which the
+// backend server's own word may come.
+func (f *Front) runUntil(ctx context.Context, r *request) *answer {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(serverGrace))
+	ans := f.run(ctx, r)
+	done := ans.close
+	ans.close = func() {
+		if done != nil {
+			done()
+		}
+		cancel()
+	}
+	return ans
 }
 
 // run admits a request to the own backend server and runs it there.
--- a/front/rig_test.go
+++ b/front/rig_test.go
@@ -238,7 +238,7 @@
 	log.SetOutput(&r.lines)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
 	i.Front = front.New(front.Config{
-		Self: i.id, Zone: "z", Service: service, App: i.addr(), Headers: names,
+		Self: i.id, Service: service, App: i.addr(), Headers: names,
 		Policy: r.policy, Server: i.keeper.Server, Lost: i.keeper.Lost,
 		Reach:    func(_ context.Context, id string) bool { return r.reach(id) },
 		Stopping: i.stopping.Load, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 20),
