--- a/allow/allow_test.go
+++ b/allow/allow_test.go
@@ -1,6 +1,7 @@
 package allow_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -105,3 +106,42 @@
 		t.Fatalf("%d left of a forgotten action, want a new 10", left)
 	}
 }
+
+// All servers of a service refuse half of their calls and the budget has a
+// retry for one call in five: the most important actions get all that they
+// need, in place of all actions too few.
+func TestShortBudgetIsKeptForTheSameKeys(t *testing.T) {
+	const keys, rounds, calls, saved = 20, 4000, 4, 12
+	b := allow.NewBudget(0.17, saved)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	whole := make([]int, keys)
+	first, retries := 0, 0
+	for n := range keys * rounds {
+		k := n % keys
+		key := action.Key(k) << 16 * 7 / keys
+		done := 0
+		for range calls {
+			b.Earn()
+			first++
+			ok := rnd.IntN(2) == 0
+			for !ok && b.Spend(key) {
+				retries++
+				ok = rnd.IntN(2) == 0
+			}
+			if !ok {
+				break
+			}
+			done++
+		}
+		if done == calls && n > keys*rounds/4 {
+			whole[k]++
+		}
+	}
+	if float64(retries) > 0.17*float64(first)+saved {
+		t.Errorf("%d retries for %d calls", retries, first)
+	}
+	per := float64(rounds) * 3 / 4
+	if best, worst := float64(whole[0])/per, float64(whole[keys-1])/per; best < 0.8 || worst > 0.2 {
+		t.Errorf("the most important key succeeds in %.2f, the least in %.2f: %v", best, worst, whole)
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -553,3 +553,30 @@
 		t.Errorf("lines of a lost payment: %v", r.lines.of("request=lost-pay"))
 	}
 }
+
+// A refused caller is told to return inside the target of the route, and never
+// later than it would wait.
+func TestPauseOfARefusedCaller(t *testing.T) {
+	patient, hasty := view, view
+	hasty.Name, hasty.Prefix, hasty.Target = "hasty", "/hasty/", 50*time.Millisecond
+	r := newRig(t, patient, hasty)
+	entry, far := r.add("dues"), r.add("plots")
+	far.on(func(w net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 503 X\r\nT-Request: %s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get(names.RequestID))
+		return true
+	})
+	seen := map[string]bool{}
+	for n := range 20 {
+		for path, most := range map[string]float64{"/view/x": 0.85, "/hasty/x": 1.0} {
+			got := entry.ask("GET", path, fmt.Sprintf("%s%d", path[1:3], n), "")
+			var after float64
+			if _, err := fmt.Sscan(got.header.Get("Retry-After"), &after); err != nil || after < 0.1 || after > most {
+				t.Errorf("%s: status %d, pause %q", path, got.status, got.header.Get("Retry-After"))
+			}
+			seen[got.header.Get("Retry-After")] = true
+		}
+	}
+	if len(seen) < 20 {
+		t.Errorf("%d different pauses of 40: the returns come at once", len(seen))
+	}
+}
--- a/front/rig_test.go
+++ b/front/rig_test.go
@@ -154,6 +154,8 @@
 	reach func(id string) bool
 	close []func()
 	lines lines
+	// slots is the number of requests that a backend server runs at once.
+	slots int
 }
 
 // lines keeps what was logged.
@@ -185,7 +187,7 @@
 }
 
 func newRig(t *testing.T, routes ...policy.Route) *rig {
-	r := &rig{t: t, reach: func(string) bool { return true }}
+	r := &rig{t: t, reach: func(string) bool { return true }, slots: 8}
 	r.routes(routes...)
 	t.Cleanup(func() {
 		for _, f := range r.close {
@@ -232,7 +234,7 @@
 	r.t.Helper()
 	i := &instance{app: newApp(r.t), id: fmt.Sprintf("i%d", len(r.list))}
 	i.table = route.New(i.id, "z", time.Now)
-	i.gate = admit.New(admit.Config{Slots: 8, Now: time.Now})
+	i.gate = admit.New(admit.Config{Slots: r.slots, Now: time.Now})
 	i.keeper = life.New(i.addr(), time.Now, nil)
 	log := logrus.New()
 	log.SetOutput(&r.lines)
@@ -252,6 +254,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.close = append(r.close, cancel)
 	r.g.Go(func() error { return i.WatchPeers(ctx) })
+	r.g.Go(func() error {
+		for t := time.NewTicker(admit.TickEvery); ctx.Err() == nil; <-t.C {
+			i.gate.Tick()
+		}
+		return nil
+	})
 	r.list = append(r.list, i)
 	i.beat(service, 1, false)
 	r.know()
@@ -262,7 +270,7 @@
 func (r *rig) know() {
 	var targets []route.Target
 	for _, i := range r.list {
-		targets = append(targets, route.Target{ID: i.id, Addr: i.in, Service: i.keeper.Server().Service, Zone: "z", Slots: 8})
+		targets = append(targets, route.Target{ID: i.id, Addr: i.in, Service: i.keeper.Server().Service, Zone: "z", Slots: r.slots})
 	}
 	for _, i := range r.list {
 		i.table.Update(targets)
