daemon: a start asks at most 32 seeds

Worked out: at 300 daemons that start at once, each would exchange with 300 seeds, 90,000 exchanges in the first second. With 32 it is 9,600; up to 32 seeds nothing changes.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -35,6 +36,8 @@
 	lonelyEvery = time.Second
 	// joinGrace is how long a daemon that reaches nobody waits before it takes work.
 	joinGrace = 1500 * time.Millisecond
+	// maxSeeds bounds the seeds asked in one try.
+	maxSeeds = 32
 	// maxContacts bounds the members asked in one try, beside the seeds.
 	maxContacts = 5
 	// routeGap is the least time between two rebuilds of the route table.
@@ -207,7 +210,9 @@
 		d.log.WithField("err", err).Info("seeds not read")
 		return list
 	}
-	for _, item := range items {
+	// In a large fleet that starts all at once every daemon has written a seed.
+	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+	for _, item := range items[:min(len(items), maxSeeds)] {
 		e := new(sycapb.MemberEntry)
 		if proto.Unmarshal(item.Value, e) != nil || e.Id == d.cfg.ID {
 			continue
