--- a/front/answer.go
+++ b/front/answer.go
@@ -36,7 +36,6 @@
 	whyLate       = "late"       // too little time is left
 	whyDial       = "dial"       // the instance cannot be reached
 	whySilent     = "silent"     // the instance neither answered nor could be reached
-	whySlow       = "slow"       // the answer took much longer than others and was given up
 	whyLost       = "lost"       // the answer did not come whole
 	whyTimeout    = "timeout"    // no answer came in time
 	whyGone       = "gone"       // the caller left
--- a/front/entry.go
+++ b/front/entry.go
@@ -156,7 +156,7 @@
 		}
 		r.again = r.again || sends > 0
 		began := f.Now()
-		last = f.sendOrMove(ctx, r, try.Target, budget, sends)
+		last = f.send(ctx, r, try.Target)
 		f.report(try, last, f.Now().Sub(began))
 		r.log.add(try.Target.ID, last)
 		if last.outcome == answered {
@@ -192,10 +192,7 @@
 		try.Fail(true)
 		return
 	case whyGone, whyTimeout:
-		try.Slow(took, false)
-		return
-	case whySlow:
-		try.Slow(took, true)
+		try.Slow(took)
 		return
 	case whySilent:
 		try.Fail(false)
@@ -219,9 +216,6 @@
 		return sends == 0
 	case whyRefused:
 		return budget.Spend(r.key)
-	case whySlow:
-		// The retry is paid for.
-		return true
 	case whyLost, whyCrash, whySilent:
 		return r.route.Repeatable && sends < r.route.Attempts && budget.Spend(r.key)
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -104,13 +104,12 @@
 	deep     *deep
 	runs     *runs
 	contacts *contacts
-	// latency is that of whole requests, sends that of single sends.
-	latency, sends *latency
+	latency  *latency
 }
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns(), contacts: newContacts(), latency: newLatency(), sends: newLatency()}
+	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns(), contacts: newContacts(), latency: newLatency()}
 }
 
 // Inflight returns the number of requests that are being served.
--- a/route/route.go
+++ b/route/route.go
@@ -221,20 +221,6 @@
 	}
 }
 
-// Alternative reports whether there is another candidate for a service than
-// the one with the ID.
-func (t *Table) Alternative(service, id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	for _, s := range t.services[service] {
-		if s.target.ID != id && !s.silent && !now.Before(s.avoid) {
-			return true
-		}
-	}
-	return false
-}
-
 // Known reports whether there is a target with the ID.
 func (t *Table) Known(id string) bool {
 	t.mu.Lock()
--- a/route/try.go
+++ b/route/try.go
@@ -68,16 +68,12 @@
 }
 
 // Slow ends the attempt without a reply after the time that it took; the
-// server would have taken longer. Pause leaves it out for a moment, until it
-// is known whether it answers at all.
-func (y *Try) Slow(took time.Duration, pause bool) {
+// server would have taken longer.
+func (y *Try) Slow(took time.Duration) {
 	y.t.mu.Lock()
 	defer y.t.mu.Unlock()
 	s := y.s
 	s.inflight--
-	if pause {
-		s.avoid = y.t.now().Add(avoidFirst)
-	}
 	if rec := s.runs[y.method]; rec == nil || took > rec.took {
 		s.record(y.method, Report{Took: took}, y.t.now())
 	}
