bench: each run has addresses of its own; a daemon that ends while it starts is named

Cause of "daemon statements-0 does not know 14 members" after a bench run that got SIGTERM: its daemons were still leaving and held their addresses; four new daemons ended with "bind: address already in use". Members of the older run did not confuse the new ones.

--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -39,6 +39,10 @@
 	pollEvery = 50 * time.Millisecond
 )
 
+// runNet is the second number of all addresses of this run, so that the
+// daemons of an earlier run that are still leaving hold none of them.
+var runNet = byte(10 + os.Getpid()%200)
+
 // instance is one backend server with its daemon.
 type instance struct {
 	id, service, zone string
@@ -102,7 +106,7 @@
 				id:      fmt.Sprintf("%s-%d", s.name, i),
 				service: s.name,
 				zone:    top.zone(zone),
-				ip:      netip.AddrFrom4([4]byte{127, 0, byte(zone + 1), byte(n)}),
+				ip:      netip.AddrFrom4([4]byte{127, runNet, byte(zone + 1), byte(n)}),
 				slots:   s.slots,
 				conns:   s.conns,
 			})
@@ -134,11 +138,11 @@
 }
 
 func storeAddr() netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), storePort)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, runNet, 0, 1}), storePort)
 }
 
 func relayAddr() netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), relayPort)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, runNet, 0, 1}), relayPort)
 }
 
 func (c *cluster) spawn(name, prog string, args ...string) (*process, error) {
@@ -243,6 +247,9 @@
 	defer cancel()
 	for _, i := range c.instances {
 		for c.alive(ctx, i) < n {
+			if gone := c.ended(); gone != nil {
+				return errors.Errorf("daemon %s ended while it started; its log is %s", gone.id, gone.daemon.log)
+			}
 			if ctx.Err() != nil {
 				return errors.Errorf("daemon %s does not know %d members after %s", i.id, n, startWait)
 			}
@@ -252,6 +259,18 @@
 	return nil
 }
 
+// ended returns an instance whose daemon is gone, nil when all run.
+func (c *cluster) ended() *instance {
+	for _, i := range c.instances {
+		select {
+		case <-i.daemon.done:
+			return i
+		default:
+		}
+	}
+	return nil
+}
+
 func (c *cluster) operator(i *instance) sycapb.OperatorClient {
 	return sycapb.NewOperatorClient(http.DefaultClient, "http://"+i.http().String())
 }
--- a/bench/soak.go
+++ b/bench/soak.go
@@ -139,7 +139,7 @@
 		return err
 	}
 	s.client = store.New(platform.NewTransport(storeAddr()), store.Rates{Reads: 1000, Writes: 1000})
-	s.store, err = s.open(ctx, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), relayPort), storeAddr())
+	s.store, err = s.open(ctx, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, runNet, 0, 1}), relayPort), storeAddr())
 	if err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 
 // add prepares an instance with its doors and its backend server.
 func (s *soak) add(ctx context.Context, i int) error {
-	n := &soakNode{service: soakUpper, zone: fmt.Sprintf("z%d", i%soakZones), ip: netip.AddrFrom4([4]byte{127, 0, 9, byte(i + 1)})}
+	n := &soakNode{service: soakUpper, zone: fmt.Sprintf("z%d", i%soakZones), ip: netip.AddrFrom4([4]byte{127, runNet, 9, byte(i + 1)})}
 	if i%2 == 1 {
 		n.service = soakLower
 	}
