life: a leave counts before the server is known

A daemon that was started again knows its server from a health check, without the time of its start, or not at all. A deregistration then carried a start that was not equal to the unknown one, or an ID that was not known: it was acknowledged and ignored, and the server got new work. Found by reading; the test fails first in both cases. The word of an earlier start is still ignored.

--- a/life/life.go
+++ b/life/life.go
@@ -130,12 +130,17 @@
 }
 
 // Leave takes the word that a server leaves. A zero born means that it was
-// not said.
+// not said. The word counts also before anything else is known of the server,
+// as after a restart of this process; that of an earlier start does not.
 func (k *Keeper) Leave(id string, born time.Time) {
 	k.update(func(s *Server) bool {
-		if s.Instance != id || !born.IsZero() && !born.Equal(s.Born) || s.State == Leaving {
+		if s.State == Leaving || s.State != Unknown && s.Instance != id || !born.IsZero() && born.Before(s.Born) {
 			return false
 		}
+		s.Instance = id
+		if born.After(s.Born) {
+			s.Born, s.Sequence = born, 0
+		}
 		s.State = Leaving
 		return true
 	})
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -89,6 +89,29 @@
 	}
 }
 
+// A daemon that was started again knows the server from a health check only,
+// or not at all, when the server says that it leaves. A health check that was
+// answered before must not bring it back.
+func TestLeaveAfterARestartOfTheDaemon(t *testing.T) {
+	found := keeper()
+	found.Found("a", "s", 4)
+	found.Leave("a", time.UnixMilli(10))
+	if s := found.Server(); s.State != life.Leaving {
+		t.Errorf("found, then left: %+v", s)
+	}
+	fresh := keeper()
+	fresh.Leave("a", time.UnixMilli(10))
+	fresh.Found("a", "s", 4)
+	fresh.Beat(report("a", 10, 3, false))
+	if s := fresh.Server(); s.State != life.Leaving {
+		t.Errorf("left before it was known: %+v", s)
+	}
+	fresh.Beat(report("a", 20, 1, false))
+	if s := fresh.Server(); s.State != life.Ready {
+		t.Errorf("the next start: %+v", s)
+	}
+}
+
 // Whatever the order, what counts in the end is the newest start, and a server
 // that said it leaves stays so.
 func TestAnyOrder(t *testing.T) {
