admit, route: a surge at a deep service no longer swings

At its peak 240 calls waited and chains ran into their time limits; then lookups and payments were shed for a second while slots were idle. Also a caller's request waits in a queue for an eighth of its target at most (a statement was held for 1.08 s and then refused); route.Deep moved from front.

Ruled out: a shorter memory of the demand, a longer queue target, a faster or slower fall alone (trials in the model: swings remain).

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -95,20 +95,25 @@
 	// Key is the importance of the call.
 	Key action.Key
 	// Invested tells that work was done for the call upstream, which a refusal would waste.
-	// It waits half a class further ahead.
+	// It waits ahead of the others of its class.
 	Invested bool
 	// Method tells which run time to expect.
 	Method string
 	// Deadline is when the answer must be there.
 	Deadline time.Time
+	// Patience is how long the call may wait at most before it is refused, 0 for until the deadline.
+	Patience time.Duration
 }
 
-// order returns the key by which a call waits.
+// order returns the key by which a call waits: the class first, then what is
+// invested in, then the hash.
 func (c Call) order() action.Key {
+	class := c.Key / classKeys * classKeys
+	within := (c.Key - class) / 2
 	if c.Invested {
-		return c.Key - min(c.Key, classKeys/2)
+		return class + within
 	}
-	return c.Key
+	return class + classKeys/2 + within
 }
 
 // Gate admits calls to one backend server. It is safe for concurrent use.
@@ -131,9 +136,7 @@
 
 // New returns a Gate for a cold backend server.
 func New(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, started: cfg.Now(), cap: float64(cfg.Slots), methods: map[string]time.Duration{}}
-	g.control.level = action.Open
-	return g
+	return &Gate{cfg: cfg, started: cfg.Now(), cap: float64(cfg.Slots), methods: map[string]time.Duration{}, control: newControl()}
 }
 
 // ShedError reports a call that was refused for want of capacity. It did not
@@ -251,7 +254,15 @@
 	if g.cfg.Mode == Full {
 		g.checkOrder(w)
 	}
-	g.control.evicted++
+	g.drop(w)
+}
+
+// drop tells w that it is shed.
+func (g *Gate) drop(w *waiter) {
+	if g.control.level.Admits(w.Key) {
+		// What was let in before the level fell says nothing of the level.
+		g.control.evicted++
+	}
 	w.verdict <- &ShedError{Key: w.Key}
 }
 
@@ -267,6 +278,21 @@
 	}
 }
 
+// dropStale sheds the calls that have waited for longer than they may. A caller
+// that is refused early has time left to come back.
+func (g *Gate) dropStale(now time.Time) {
+	var stale []*waiter
+	for _, w := range g.queue.items {
+		if w.Patience > 0 && now.Sub(w.arrived) > w.Patience {
+			stale = append(stale, w)
+		}
+	}
+	for _, w := range stale {
+		g.queue.remove(w)
+		g.drop(w)
+	}
+}
+
 // pump admits waiting calls while the limit allows.
 func (g *Gate) pump(now time.Time) {
 	for g.queue.len() > 0 && g.inflight < g.limit(now) {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -253,6 +253,101 @@
 	}
 }
 
+// A caller's request that waits behind others is refused while it has time to
+// come back; what is invested in waits on.
+func TestRequestIsNotHeldInTheQueue(t *testing.T) {
+	c := &clock{t: time.Unix(1000, 0)}
+	g := admit.New(admit.Config{Slots: 1, Mode: admit.Full, Now: c.now})
+	call := admit.Call{Key: 1 << 17, Method: "get", Deadline: c.now().Add(time.Minute)}
+	pass, err := g.Enter(context.Background(), call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ends := map[bool]chan error{}
+	var group errgroup.Group
+	for _, own := range []bool{false, true} {
+		end := make(chan error, 1)
+		ends[own] = end
+		w := call
+		w.Invested = own
+		if !own {
+			w.Patience = 150 * time.Millisecond
+		}
+		group.Go(func() error {
+			p, err := g.Enter(context.Background(), w)
+			if err == nil {
+				p.Leave(admit.Ran)
+			}
+			end <- err
+			return nil
+		})
+	}
+	for g.Stats().Queued < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 2 {
+		c.add(admit.TickEvery)
+		g.Tick()
+	}
+	if n := g.Stats().Queued; n != 2 {
+		t.Errorf("%d wait after 100 ms, want 2", n)
+	}
+	for range 2 {
+		c.add(admit.TickEvery)
+		g.Tick()
+	}
+	var shed *admit.ShedError
+	if err := <-ends[false]; !errors.As(err, &shed) {
+		t.Errorf("after 200 ms: %v", err)
+	}
+	pass.Leave(admit.Ran)
+	if err := <-ends[true]; err != nil {
+		t.Errorf("what was invested in: %v", err)
+	}
+	_ = group.Wait()
+}
+
+// What a rank above has invested or not, a rank below never goes first.
+func TestRankGoesBeforeInvestment(t *testing.T) {
+	b := newBench(1)
+	defer b.close()
+	b.enter(0, time.Minute)
+	var order []string
+	var mu sync.Mutex
+	var group errgroup.Group
+	wait := func(name string, rank uint32, own bool) {
+		before := b.g.Stats().Queued
+		group.Go(func() error {
+			id := action.NewID()
+			p, err := b.g.Enter(context.Background(), admit.Call{Key: action.KeyOf(rank, id), Invested: own, Method: "get", Deadline: b.c.now().Add(time.Minute)})
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			order = append(order, name)
+			mu.Unlock()
+			p.Leave(admit.Ran)
+			return nil
+		})
+		for b.g.Stats().Queued == before {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	wait("view", 2, false)
+	wait("call of a view", 2, true)
+	wait("lookup", 1, false)
+	b.leave(0, time.Millisecond)
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"lookup", "call of a view", "view"}
+	for i := range want {
+		if order[i] != want[i] {
+			t.Fatalf("order %v, want %v", order, want)
+		}
+	}
+}
+
 func TestCallThatCannotFinishIsDropped(t *testing.T) {
 	b := newBench(1)
 	defer b.close()
--- a/admit/control.go
+++ b/admit/control.go
@@ -10,46 +10,69 @@
 const TickEvery = 50 * time.Millisecond
 
 const (
-	// bucketBits is the part of a key that a bucket of the demand leaves out.
+	// bucketBits is the part of a key that a bucket leaves out.
 	bucketBits = 10
 	numBuckets = (int(action.MaxKey) + 1) >> bucketBits
-	// demandWeight is the weight of one tick in the demand of an admitted bucket. An action reaches a deep service up
-	// to half a second after it was admitted, so that a shorter memory would follow the level rather than the demand.
+	numClasses = int(action.MaxRank) + 1
+	perClass   = numBuckets / numClasses
+	// demandWeight is the weight of one tick in the demand of a class that is wholly admitted.
 	demandWeight = 0.08
-	// demandDecay is what one tick leaves of the demand of a bucket that is shed upstream.
-	demandDecay = 0.998
-	// fitShare is the part of the capacity that the demand may take when the level falls.
-	fitShare = 0.95
+	// wholeShare is the share of a class from which its demand is known as well as that of the whole class.
+	wholeShare = 0.1
+	// demandDecay is what one tick leaves of the demand of a class of which nothing is admitted.
+	demandDecay = 0.995
+	// capacityWeight is the weight of one tick in the capacity.
+	capacityWeight = 0.1
+	// settleTicks is the number of ticks after which the demand of a bucket that was opened is at hand: the time that
+	// an action takes from its entry to its calls of a deep service, and the way of the level to the entries.
+	settleTicks = 20
+	// shareFirst is the part of the capacity that the demand may take at first; shareLeast and shareMost bound it.
+	shareFirst = 0.97
+	shareLeast = 0.8
+	shareMost  = 1.2
+	// shareUp and shareDown are the steps of that part in a tick with idle slots and in one with a queue. A step
+	// shows after settleTicks.
+	shareUp   = 0.002
+	shareDown = 0.003
+	// idleMost is the idle part of the limit from which there is room for more.
+	idleMost = 0.05
 	// drainTime is how soon a queue above its target should be back at it.
-	drainTime = time.Second
+	drainTime = 2 * time.Second
 	// waitTarget is the queueing time that the level aims for; an action waits as
 	// often as it calls the service, up to eight times in our users' graphs.
 	waitTarget = 10 * time.Millisecond
-	// raiseShare is the part of the capacity by which the level rises in a tick while most is in use;
-	// idleShare is added to it, by the cube of the part that is idle.
-	raiseShare = 0.003
-	idleShare  = 0.5
 	// idleWeight is the weight of one tick in the part that is idle.
 	idleWeight = 0.15
-	// evictedShare is the part of the capacity by which the level falls at least in a tick with a full queue.
-	evictedShare = 0.02
 )
 
-// control moves the level. It keeps the demand seen in each bucket of keys.
-// When the queue is above its target, the level falls to the key up to which
-// the known demand fits the capacity. When there is room, the level rises
-// slowly, and fast when much is idle; demand that is shed upstream is not seen
-// here and is remembered as it was. The level opens soon after the demand is
-// gone.
+// control computes the level. The hashes of actions are spread evenly over the
+// keys of a class, so that the arrivals at the admitted keys of a class tell
+// the demand of all its keys. The level is the key up to which that demand fits
+// the capacity. The part of the capacity that is used so follows from what the
+// queue and the idle slots show: slowly, since a change of the level shows only
+// when the actions that it let in have reached their calls. A level that
+// followed the queue alone would swing.
 type control struct {
-	level   action.Level
-	seen    [numBuckets]uint32
-	demand  [numBuckets]float64
+	level action.Level
+	seen  [numBuckets]uint32
+	// opened counts the ticks for which a bucket has been admitted.
+	opened [numBuckets]int
+	// demand is the calls a second of each class, were it admitted wholly; ticks counts its measurements.
+	demand [numClasses]float64
+	ticks  [numClasses]int
+	// capacity is the mean of the capacity, in calls a second.
+	capacity float64
+	// share is the part of the capacity that the demand may take.
+	share   float64
 	evicted int
 	// idle is the mean part of the limit that is not in use.
 	idle float64
 }
 
+func newControl() control {
+	return control{level: action.Open, share: shareFirst}
+}
+
 func bucketOf(k action.Key) int {
 	return int(k) >> bucketBits
 }
@@ -63,32 +86,50 @@
 	c.seen[bucketOf(k)]++
 }
 
-// measure folds the arrivals of the last tick into the demand.
+// measure folds the arrivals of the last tick into the demand. A bucket that
+// was opened a moment ago does not count until its calls can be here.
 func (c *control) measure() {
-	top := bucketOf(action.Key(c.level))
-	for i := range c.demand {
-		rate := float64(c.seen[i]) / TickEvery.Seconds()
-		c.seen[i] = 0
-		if i <= top {
-			c.demand[i] += demandWeight * (rate - c.demand[i])
-			continue
+	for class := range numClasses {
+		calls, settled := uint32(0), 0
+		for i := class * perClass; i < (class+1)*perClass; i++ {
+			if edge(i) > c.level {
+				c.opened[i] = 0
+			} else {
+				c.opened[i]++
+			}
+			if c.opened[i] > settleTicks || c.level >= action.Open {
+				calls += c.seen[i]
+				settled++
+			}
+			c.seen[i] = 0
 		}
-		c.demand[i] *= demandDecay
+		c.learn(class, float64(calls)/TickEvery.Seconds(), float64(settled)/float64(perClass))
+	}
+}
+
+// learn takes the calls a second at a part of a class.
+func (c *control) learn(class int, rate, part float64) {
+	if part == 0 {
+		c.demand[class] *= demandDecay
+		return
 	}
+	c.ticks[class]++
+	weight := max(demandWeight, 1/float64(c.ticks[class])) * min(1, part/wholeShare)
+	c.demand[class] += weight * (rate/part - c.demand[class])
 }
 
 // fit returns the level up to which the known demand, and the backlog that
 // waits at those keys, stay within the capacity. Less important calls that
 // wait do not count against more important ones.
 func (c *control) fit(capacity, target float64, q *queue) action.Level {
+	var waiting [numBuckets]float64
+	for _, w := range q.items {
+		waiting[bucketOf(w.Key)]++
+	}
 	sum, backlog := 0.0, 0.0
-	next := 0
-	for i, d := range c.demand {
-		sum += d
-		for next < q.len() && bucketOf(q.items[next].order) <= i {
-			backlog++
-			next++
-		}
+	for i := range numBuckets {
+		sum += c.demand[i/perClass] / float64(perClass)
+		backlog += waiting[i]
 		drain := max(0, backlog-target) / drainTime.Seconds()
 		if sum+drain > capacity {
 			return edge(max(0, i-1))
@@ -97,28 +138,16 @@
 	return action.Open
 }
 
-// lower returns the level that sheds rate calls a second more.
-func (c *control) lower(rate float64) action.Level {
-	sum := 0.0
-	for i := bucketOf(action.Key(c.level)); i > 0; i-- {
-		sum += c.demand[i]
-		if sum >= rate {
-			return edge(i - 1)
-		}
-	}
-	return c.level
-}
-
-// raise returns the level with room for rate more calls a second.
-func (c *control) raise(rate float64) action.Level {
-	sum := 0.0
-	for i := bucketOf(action.Key(c.level)) + 1; i < numBuckets; i++ {
-		sum += c.demand[i]
-		if sum > rate {
-			return edge(i)
-		}
+// trim moves the part of the capacity that the demand may take.
+func (c *control) trim(queued, target float64) {
+	switch {
+	case queued > target:
+		c.share = max(shareLeast, c.share-shareDown)
+	case c.level >= action.Open:
+		c.share = max(shareFirst, c.share-shareDown)
+	case c.idle > idleMost:
+		c.share = min(shareMost, c.share+shareUp*c.idle/idleMost)
 	}
-	return action.Open
 }
 
 // Tick moves the level by what the last TickEvery showed.
@@ -129,6 +158,7 @@
 		return
 	}
 	now := g.cfg.Now()
+	g.dropStale(now)
 	c := &g.control
 	c.measure()
 	limit := float64(g.limit(now))
@@ -138,21 +168,30 @@
 		// Nothing has run yet, so that nothing is known of what fits.
 		return
 	}
-	target := max(2, capacity*waitTarget.Seconds())
-	over := float64(g.queue.len()) - target
-	switch {
-	case over > 0 || c.evicted > 0:
-		c.level = min(c.level, c.fit(fitShare*capacity, target, &g.queue))
-		if c.evicted > 0 {
-			c.level = min(c.level, c.lower(evictedShare*capacity))
-			g.flush()
-		}
-	case over < -target/2 && c.level < action.Open:
-		c.level = c.raise(capacity * (raiseShare + c.idle*c.idle*c.idle*idleShare))
+	if c.capacity == 0 {
+		c.capacity = capacity
+	}
+	c.capacity += capacityWeight * (capacity - c.capacity)
+	target := max(2, c.capacity*waitTarget.Seconds())
+	queued := float64(g.queue.len())
+	c.trim(queued, target)
+	c.level = c.next(queued, target, &g.queue)
+	if c.evicted > 0 {
+		g.flush()
 	}
 	c.evicted = 0
 }
 
+// next returns the level for the next tick. It falls only when calls wait: the
+// demand alone says nothing while the backend server keeps up with it.
+func (c *control) next(queued, target float64, q *queue) action.Level {
+	level := c.fit(c.share*c.capacity, target, q)
+	if level < c.level && queued <= target {
+		return c.level
+	}
+	return level
+}
+
 // flush sheds the waiting calls of classes below the class of the level.
 func (g *Gate) flush() {
 	rank := action.Key(g.control.level).Rank()
--- a/front/entry.go
+++ b/front/entry.go
@@ -233,7 +233,7 @@
 		return final{status: http.StatusServiceUnavailable, why: whyShed, after: f.pause(r)}
 	}
 	if r.own {
-		f.deep.block(call{service: r.service, route: r.route.Name}, f.Now())
+		f.deep.Block(route.Call{Service: r.service, Method: r.route.Name}, f.Now())
 	}
 	return final{status: http.StatusServiceUnavailable, why: whyNoServer, after: afterNoServer}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -101,7 +101,7 @@
 	Config
 	inflight atomic.Int64
 	parts    *parts
-	deep     *deep
+	deep     *route.Deep
 	runs     *runs
 	contacts *contacts
 	latency  *latency
@@ -109,7 +109,7 @@
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, parts: newParts(), deep: newDeep(), runs: newRuns(), contacts: newContacts(), latency: newLatency()}
+	return &Front{Config: cfg, parts: newParts(), deep: route.NewDeep(), runs: newRuns(), contacts: newContacts(), latency: newLatency()}
 }
 
 // Inflight returns the number of requests that are being served.
--- a/front/hop.go
+++ b/front/hop.go
@@ -26,7 +26,9 @@
 	hopKey     = hopPrefix + "Key"
 	hopPrint   = hopPrefix + "Print"
 	// hopLeft is the time left, in microseconds.
-	hopLeft   = hopPrefix + "Left"
+	hopLeft = hopPrefix + "Left"
+	// hopWait is how long the request may wait in the queue, in microseconds; 0 stands for until its deadline.
+	hopWait   = hopPrefix + "Wait"
 	hopRepeat = hopPrefix + "Repeat"
 	hopAgain  = hopPrefix + "Again"
 	// hopOwn marks a call of a backend server, in which the run that made it is invested.
@@ -109,6 +111,7 @@
 	h.Set(hopKey, strconv.FormatUint(uint64(r.key), 10))
 	h.Set(hopPrint, strconv.FormatUint(uint64(r.print), 16))
 	h.Set(hopLeft, strconv.FormatInt(r.deadline.Sub(now).Microseconds(), 10))
+	h.Set(hopWait, strconv.FormatInt(r.mayWait(now).Microseconds(), 10))
 	req := &httpc.Request{
 		Method: r.method,
 		Target: r.target,
@@ -170,6 +173,10 @@
 	if err != nil {
 		return nil, err
 	}
+	wait, err := number(hopWait, 10)
+	if err != nil {
+		return nil, err
+	}
 	return &arrival{
 		routeName:  r.Header.Get(hopRoute),
 		repeatable: r.Header.Get(hopRepeat) != "",
@@ -187,6 +194,7 @@
 			print:    poison.Print(fp),
 			arrived:  now,
 			deadline: now.Add(time.Duration(left) * time.Microsecond),
+			wait:     time.Duration(wait) * time.Microsecond,
 		},
 	}, nil
 }
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -63,7 +63,7 @@
 	ans := f.admitAndRun(ctx, r)
 	s := f.Gate.Stats()
 	ans.load = load{running: s.Inflight, queued: s.Queued, limit: s.Limit}
-	ans.levels = f.deep.levels(f.Gate.Level(), f.Table, f.Now())
+	ans.levels = f.deep.Levels(f.Gate.Level(), f.Table, f.Now())
 	f.logRun(r, ans)
 	return ans
 }
@@ -71,7 +71,7 @@
 // levelOf returns the level of a route here: that of the own queue, or the
 // strictest among the calls that its runs make.
 func (f *Front) levelOf(name string, now time.Time) action.Level {
-	return min(f.Gate.Level(), f.deep.levelOf(name, f.Table, now))
+	return min(f.Gate.Level(), f.deep.Level(name, f.Table, now))
 }
 
 // unwilling says why the backend server takes no work, empty when it does.
@@ -95,12 +95,12 @@
 		return refusal(why)
 	}
 	asked := f.Now()
-	f.deep.runs(r.route.Name, asked)
+	f.deep.Ran(r.route.Name, asked)
 	if !r.own && !f.levelOf(r.route.Name, asked).Admits(r.key) {
 		// The entry has not heard of the level yet.
 		return refusal(whyShed)
 	}
-	pass, err := f.Gate.Enter(ctx, admit.Call{Key: r.key, Invested: r.own, Method: r.route.Name, Deadline: r.deadline})
+	pass, err := f.Gate.Enter(ctx, admit.Call{Key: r.key, Invested: r.own, Method: r.route.Name, Deadline: r.deadline, Patience: r.mayWait(asked)})
 	if err != nil {
 		return refusal(whyNotAdmitted(err))
 	}
--- a/front/request.go
+++ b/front/request.go
@@ -19,6 +19,10 @@
 	bodyBuffer = 64 << 10
 	// answerBuffer is the largest answer that is held until it is known to be whole, in bytes.
 	answerBuffer = 256 << 10
+	// holdShare is the part of the target for which a request of a caller is held in queues.
+	holdShare = 1.0 / 8
+	// holdLeast is how long a request is held at least at one instance: two rounds of Gate.Tick.
+	holdLeast = 100 * time.Millisecond
 	// hopPrefix begins the header fields between Fronts; callers must not set them.
 	hopPrefix = "Syca-"
 )
@@ -48,10 +52,23 @@
 	deadline time.Time
 	// patience is how long the caller waits, from arrived.
 	patience time.Duration
+	// wait is how long another Front lets the request wait in the queue, 0 for until the deadline.
+	wait     time.Duration
 	revision uint64
 	log      trace
 }
 
+// mayWait returns how long the request may wait in the queue of an instance, 0
+// for until its deadline. A caller is refused while most of the target is left
+// for a return; what a run is waiting for is held as long as it can be of use.
+func (r *request) mayWait(now time.Time) time.Duration {
+	if r.own || r.route.Target <= 0 {
+		return r.wait
+	}
+	left := time.Duration(holdShare*float64(r.route.Target)) - now.Sub(r.arrived)
+	return max(holdLeast, left)
+}
+
 // path returns the part of the target before the query.
 func path(target string) string {
 	p, _, _ := strings.Cut(target, "?")
--- a/route/route.go
+++ b/route/route.go
@@ -16,6 +16,7 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -32,6 +33,8 @@
 	levelHold = 700 * time.Millisecond
 	// levelFade is the time over which a level then opens.
 	levelFade = 300 * time.Millisecond
+	// commonOf is the number of candidates, those heard last, whose levels tell that of the service.
+	commonOf = 5
 	// loadKeep is how long a reported load is used.
 	loadKeep = time.Second
 	// calmFill is the share of a server in use up to which calls stay in the own zone whatever the others have:
@@ -198,12 +201,9 @@
 		return t.try(sticky(up, req.Sticky), req.Method), nil
 	}
 	open := up
-	if !req.IgnoreLevel {
+	if !req.IgnoreLevel && !req.Invested {
 		open = admitting(up, req, now)
 	}
-	if len(open) == 0 && req.Invested {
-		return t.try(mildest(up, req.Method, now), req.Method), nil
-	}
 	if len(open) == 0 {
 		level, age := latest(up, req.Method, now)
 		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter, Level: level, Age: age}
@@ -260,11 +260,14 @@
 	return up
 }
 
-// admitting returns the candidates that take the request. One whose level was
-// not heard of late is taken to have that of the service, since what binds is
-// mostly deeper and common to all; one that never answered is open.
+// admitting returns the candidates that take the request, none when the level
+// of the service sheds it. One whose own level was not heard of late is taken
+// to have that of the service; one that never answered is open.
 func admitting(list []*state, req Request, now time.Time) []*state {
-	common, known := freshest(list, req.Method, now)
+	common, known := common(list, req.Method, now)
+	if known && !common.Admits(req.Key) {
+		return nil
+	}
 	open := make([]*state, 0, len(list))
 	for _, s := range list {
 		level := s.level(req.Method, now)
@@ -275,23 +278,49 @@
 			open = append(open, s)
 		}
 	}
+	if len(open) == 0 && known {
+		return []*state{mildest(list, req.Method, now)}
+	}
 	return open
 }
 
-// freshest returns the highest level that was heard within levelHold, if any
-// was.
-func freshest(list []*state, method string, now time.Time) (action.Level, bool) {
-	var best action.Level
-	known := false
+// common returns the level of a service for a method, if any was heard within
+// levelHold: the middle one of those heard last. What binds is mostly deeper
+// and common to all candidates, so that the highest level is mostly the oldest;
+// with it, each hop of a chain would add the age of a level to the time after
+// which a surge is noticed, and the load would swing.
+func common(list []*state, method string, now time.Time) (action.Level, bool) {
+	var last [commonOf]note
+	n := 0
 	for _, s := range list {
-		n, ok := s.levels[method]
-		if !ok || now.Sub(n.at) > levelHold {
+		l, ok := s.levels[method]
+		if !ok || now.Sub(l.at) > levelHold {
 			continue
 		}
-		best = max(best, n.level)
-		known = true
+		n = keepLast(&last, n, l)
+	}
+	if n == 0 {
+		return 0, false
 	}
-	return best, known
+	heard := last[:n]
+	slices.SortFunc(heard, func(a, b note) int { return cmp.Compare(a.level, b.level) })
+	return heard[n/2].level, true
+}
+
+// keepLast puts a note among the n latest ones, the latest first, and returns
+// how many there are then.
+func keepLast(last *[commonOf]note, n int, l note) int {
+	i := n
+	for i > 0 && last[i-1].at.Before(l.at) {
+		i--
+	}
+	if i == commonOf {
+		return n
+	}
+	n = min(n+1, commonOf)
+	copy(last[i+1:n], last[i:n-1])
+	last[i] = l
+	return n
 }
 
 // latest returns the highest level of the candidates and the age of the note
@@ -397,14 +426,14 @@
 	return n.level + action.Level(gap*float64(age)/float64(levelFade))
 }
 
-// Level returns the level of a whole service for a method: the highest among
-// the candidates heard of lately.
+// Level returns the level of a whole service for a method, Open when none was
+// heard of late.
 func (t *Table) Level(service, method string) action.Level {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, known := freshest(t.services[service], method, t.now())
+	level, known := common(t.services[service], method, t.now())
 	if !known {
 		return action.Open
 	}
-	return best
+	return level
 }
