--- /dev/null
+++ b/front/bench_test.go
@@ -0,0 +1,40 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkForward measures one request from a caller through two daemons to a
+// backend server and back, on kept connections; the caller and the server are
+// part of it.
+func BenchmarkForward(b *testing.B) {
+	r := newRig(b, view)
+	r.quiet = true
+	entry := r.add("dues")
+	r.add("plots")
+	c, err := net.Dial("tcp", entry.out.String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		_, err := fmt.Fprintf(c, "GET /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r%d\r\nT-Left: 3000\r\n\r\n", n)
+		if err != nil {
+			b.Fatal(err)
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatal(resp, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/front/rig_test.go
+++ b/front/rig_test.go
@@ -59,7 +59,7 @@
 		status, r.Header.Get(names.RequestID), len(body), body)
 }
 
-func newApp(t *testing.T) *app {
+func newApp(t testing.TB) *app {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -146,7 +146,7 @@
 
 // rig is a few instances that know each other.
 type rig struct {
-	t     *testing.T
+	t     testing.TB
 	g     errgroup.Group
 	list  []*instance
 	mu    sync.Mutex
@@ -154,6 +154,8 @@
 	reach func(id string) bool
 	close []func()
 	lines lines
+	// quiet drops what is logged.
+	quiet bool
 	// slots is the number of requests that a backend server runs at once.
 	slots int
 }
@@ -186,7 +188,7 @@
 	return found
 }
 
-func newRig(t *testing.T, routes ...policy.Route) *rig {
+func newRig(t testing.TB, routes ...policy.Route) *rig {
 	r := &rig{t: t, reach: func(string) bool { return true }, slots: 8}
 	r.routes(routes...)
 	t.Cleanup(func() {
@@ -238,6 +240,9 @@
 	i.keeper = life.New(i.addr(), time.Now, nil)
 	log := logrus.New()
 	log.SetOutput(&r.lines)
+	if r.quiet {
+		log.SetOutput(io.Discard)
+	}
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
 	i.Front = front.New(front.Config{
 		Self: i.id, Service: service, App: i.addr(), Headers: names,
--- /dev/null
+++ b/logs/line_test.go
@@ -0,0 +1,51 @@
+package logs_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sycamorespread.dev/logs"
+)
+
+func fields() logrus.Fields {
+	return logrus.Fields{
+		"request": "9c41d07be2a35f68", "ms": 12.625, "status": 503, "key": uint32(191329), "own": false, "revision": uint64(7),
+		"sends": "i1:late,i2:answered", "err": errors.New(`dial "x": refused`), "empty": "", "cold": 1500 * time.Millisecond, "n": int64(-3),
+	}
+}
+
+// entry writes one entry with a formatter.
+func entry(f logrus.Formatter) string {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(f)
+	log.WithTime(time.Date(2026, 12, 4, 7, 8, 9, 12_000_000, time.UTC)).WithFields(fields()).Info("backend server")
+	return out.String()
+}
+
+// The lines are those of the formatter of logrus, so that whatever reads them
+// goes on to.
+func TestLineIsThatOfTheTextFormatter(t *testing.T) {
+	want := entry(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000", QuoteEmptyFields: true})
+	if got := entry(logs.Formatter{}); got != want {
+		t.Errorf("got  %swant %s", got, want)
+	}
+}
+
+func BenchmarkFormatter(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(new(bytes.Buffer))
+	e := log.WithFields(fields())
+	e.Buffer = new(bytes.Buffer)
+	for b.Loop() {
+		e.Buffer.Reset()
+		if _, err := (logs.Formatter{}).Format(e); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/sycd/main.go
+++ b/sycd/main.go
@@ -63,7 +63,7 @@
 	}
 	log := logrus.New()
 	log.SetLevel(cfg.LogLevel)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	log.SetFormatter(logs.Formatter{})
 	out := logs.New(os.Stdout, logs.Limits{Buffer: logBuffer, Rate: logRate})
 	log.SetOutput(out)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
