allow: the retry budget is counted over windows and kept by importance

Of the retries that the rule allows (a fifth of the attempts of the window, of the one before or of the one half a window before) about half were sent: a daemon saved four at most, and the attempts fall as chains break off.

Now a budget counts attempts and retries by tenths of a second for 20 s. What it entitles to is what all windows that contain the present moment will allow, so that a fleet holds the rule whatever the traffic does (property test; a version that looked at the present windows only failed it). The less is left, the more important a key must be.

Tests: TestFaultOfSecondsUsesWhatWasEarned (before: 26 of 850 payments whole; now 257 to 262, could be 368 were the future traffic known), TestBudgetsOfAFleetHoldTogether.

--- a/allow/allow_test.go
+++ b/allow/allow_test.go
@@ -73,7 +73,7 @@
 
 func TestBudgetIsAShareOfSuccesses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := allow.NewBudget(allow.DefaultRatio, allow.DefaultSaved)
+		b := allow.NewBudget(allow.DefaultRatio, allow.DefaultSaved, time.Now)
 		const initial = 20
 		first, retries := 0, 0
 		for range rapid.IntRange(0, 400).Draw(t, "steps") {
@@ -111,12 +111,14 @@
 // retry for one call in five: the most important actions get all that they
 // need, in place of all actions too few.
 func TestShortBudgetIsKeptForTheSameKeys(t *testing.T) {
-	const keys, rounds, calls, saved = 20, 4000, 4, 12
-	b := allow.NewBudget(0.17, saved)
+	const keys, rounds, calls, saved, gap = 20, 4000, 4, 12, 2 * time.Millisecond
+	now := time.Unix(1000, 0)
+	b := allow.NewBudget(0.17, saved, func() time.Time { return now })
 	rnd := rand.New(rand.NewPCG(1, 1))
 	whole := make([]int, keys)
 	first, retries := 0, 0
 	for n := range keys * rounds {
+		now = now.Add(gap)
 		k := n % keys
 		key := action.Key(k) << 16 * 7 / keys
 		done := 0
@@ -145,3 +147,113 @@
 		t.Errorf("the most important key succeeds in %.2f, the least in %.2f: %v", best, worst, whole)
 	}
 }
+
+// slots counts the attempts and the retries of a service by tenths of a second.
+type slots struct {
+	attempts, retries []int
+}
+
+// over reports the window of ten seconds with the most retries above what the
+// attempts of that window, or of one that began five or ten seconds earlier,
+// entitle to.
+func (s slots) over(ratio, saved float64) float64 {
+	sum := func(list []int, end int) int {
+		n := 0
+		for i := max(0, end-100); i < end; i++ {
+			n += list[i]
+		}
+		return n
+	}
+	worst := -saved
+	for end := 100; end <= len(s.attempts); end++ {
+		most := max(sum(s.attempts, end), sum(s.attempts, max(0, end-50)), sum(s.attempts, max(0, end-100)))
+		worst = max(worst, float64(sum(s.retries, end))-ratio*float64(most)-saved)
+	}
+	return worst
+}
+
+// A few daemons with their own shares of the traffic and of the saved retries
+// stay within the budget of all, whatever fails and however the traffic moves.
+func TestBudgetsOfAFleetHoldTogether(t *testing.T) {
+	const ratio, saved = 0.2, 49
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		n := rapid.IntRange(1, 6).Draw(t, "daemons")
+		budgets := make([]*allow.Budget, n)
+		for i := range budgets {
+			budgets[i] = allow.NewBudget(allow.RatioUsed*ratio, saved/float64(n), func() time.Time { return now })
+		}
+		var s slots
+		rate, fails := 20, 0
+		for i := range 400 {
+			if i%40 == 0 {
+				rate = rapid.IntRange(1, 30).Draw(t, "rate")
+				fails = rapid.IntRange(0, 3).Draw(t, "fails")
+			}
+			now = now.Add(100 * time.Millisecond)
+			s.attempts, s.retries = append(s.attempts, 0), append(s.retries, 0)
+			for k := range rate {
+				b := budgets[k%n]
+				b.Earn()
+				s.attempts[i]++
+				for range fails {
+					if b.Spend(action.Key(k << 13)) {
+						s.retries[i]++
+					}
+				}
+			}
+		}
+		if over := s.over(ratio, saved+1); over > 0 {
+			t.Fatalf("%.0f retries above the budget", over)
+		}
+	})
+}
+
+// After half a minute of calm all servers of a service refuse more than half of
+// their calls for eight seconds. Payments make eight calls each, views four. The
+// retries that the calm has earned go to payments, and to the same ones.
+func TestFaultOfSecondsUsesWhatWasEarned(t *testing.T) {
+	const ratio, saved, fault = 0.2, 3.0, 85
+	now := time.Unix(1000, 0)
+	b := allow.NewBudget(allow.RatioUsed*ratio, saved, func() time.Time { return now })
+	rnd := rand.New(rand.NewPCG(3, 4))
+	var s slots
+	served, asked := [3]int{}, [3]int{}
+	for i := range 300 + fault {
+		s.attempts, s.retries = append(s.attempts, 0), append(s.retries, 0)
+		for k := range 40 {
+			now = now.Add(100 * time.Millisecond / 40)
+			rank, calls := uint32(2), 4
+			if k%4 == 0 {
+				rank, calls = 0, 8
+			}
+			key := action.KeyOf(rank, action.NewID())
+			ok := true
+			for c := 0; c < calls && ok; c++ {
+				b.Earn()
+				s.attempts[i]++
+				ok = i < 300 || rnd.Float64() > 0.55
+				for !ok && b.Spend(key) {
+					s.retries[i]++
+					ok = rnd.Float64() > 0.55
+				}
+			}
+			if i >= 300 {
+				asked[rank]++
+				if ok {
+					served[rank]++
+				}
+			}
+		}
+	}
+	if over := s.over(ratio, saved+1); over > 0 {
+		t.Errorf("%.0f retries above the budget", over)
+	}
+	// 1.22 retries for each of eight calls make a payment whole.
+	entitled := allow.RatioUsed * ratio * 100 * 200
+	could := entitled / (8 * 0.55 / 0.45)
+	t.Logf("payments: %d of %d, the budget is enough for %.0f; views: %d of %d", served[0], asked[0], could, served[2], asked[2])
+	if float64(served[0]) < 0.6*could {
+		t.Errorf("%d payments were whole, the budget is enough for %.0f", served[0], could)
+	}
+}
--- a/allow/budget.go
+++ b/allow/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"sycamorespread.dev/action"
 )
@@ -9,51 +10,75 @@
 const (
 	// DefaultRatio is the number of retries that one attempt earns.
 	DefaultRatio = 0.1
-	// DefaultSaved is the largest number of saved retries.
+	// DefaultSaved is the number of retries that need not be earned.
 	DefaultSaved = 20
-	// RatioUsed is the part of the fleet's ratio that is spent; the rest covers what is in flight when a window ends.
-	RatioUsed = 0.85
-	// levelStep is the part of all keys by which the level opens when the budget is full.
-	levelStep = 0.005
-	// levelCut is the factor on the level when nothing is left.
-	levelCut = 0.9
+	// RatioUsed is the part of the fleet's ratio that is spent; the rest covers what is in flight when a window ends
+	// and daemons whose traffic changes at different times.
+	RatioUsed = 0.9
+	// slotTime is the time that one slot of the record covers, and between two steps of the level.
+	slotTime = 100 * time.Millisecond
+	// windowSlots is the length of the window in which retries are bounded: 10 s.
+	windowSlots = 100
+	// recordSlots covers the window and the one before it.
+	recordSlots = 2 * windowSlots
+	// topKeep is what one slot leaves of the least important key that asks.
+	topKeep = 0.98
+	// amplePart is the part of the budget that must be left for all keys to spend, as at single failures.
+	amplePart = 0.9
+	// levelSlope is the part of the keys that ask which may spend when the whole budget is left, were it not ample.
+	levelSlope = 0.6
 )
 
-// Budget limits the retries toward one service to a part of the attempts that
-// earn some. When it does not suffice, it is kept for the most important keys:
+// slot counts the attempts and the retries of one slotTime.
+type slot struct {
+	attempts, retries int
+}
+
+// Budget limits the retries toward one service to a part of the attempts. The
+// retries of any ten seconds are bounded by the attempts of the same ten
+// seconds, or of ten seconds that began five or ten seconds earlier when those
+// were more: when calls fail, fewer follow each other, and what a fault of some
+// seconds needs was earned before it.
+//
+// When the budget does not suffice, it is kept for the most important keys:
 // the same actions then get all the retries that they need, rather than all
 // actions too few. It is safe for concurrent use.
 type Budget struct {
 	ratio float64
+	now   func() time.Time
 
-	mu     sync.Mutex
-	saved  float64
-	tokens float64
-	// level is the part of all keys, the most important first, that may spend.
-	level float64
+	mu    sync.Mutex
+	saved float64
+	// slots is a ring; at is the time of the newest slot.
+	slots  [recordSlots]slot
+	newest int
+	at     time.Time
+	// entitled is the number of retries of the window, left what is not spent of it.
+	entitled, left float64
+	// top is about the least important key that asked for a retry of late.
+	top float64
 }
 
-// NewBudget returns a full budget.
-func NewBudget(ratio, saved float64) *Budget {
-	return &Budget{ratio: ratio, saved: saved, tokens: saved, level: 1}
+// NewBudget returns a budget of ratio for each attempt of a window and of
+// saved beside.
+func NewBudget(ratio, saved float64, now func() time.Time) *Budget {
+	return &Budget{ratio: ratio, saved: saved, now: now, at: now(), entitled: saved, left: saved}
 }
 
 // Earn records an attempt that entitles to retries.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens += b.ratio
-	if b.tokens >= b.saved {
-		b.tokens = b.saved
-		b.level = min(1, b.level+levelStep)
-	}
+	b.turn()
+	b.slots[b.newest].attempts++
 }
 
 func (b *Budget) save(saved float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.entitled += saved - b.saved
+	b.left += saved - b.saved
 	b.saved = saved
-	b.tokens = min(b.tokens, saved)
 }
 
 // Spend takes one retry for an action with the key and reports whether there
@@ -61,41 +86,102 @@
 func (b *Budget) Spend(k action.Key) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if float64(k) > b.level*float64(action.MaxKey) {
-		return false
-	}
-	if b.tokens < 1 {
-		b.level *= levelCut
+	b.turn()
+	b.top = max(b.top, float64(k))
+	if b.left < 1 || float64(k) > b.level() {
 		return false
 	}
-	b.tokens--
+	b.take()
 	return true
 }
 
+// level returns the least important key that may spend: the less is left, the
+// more important it is.
+func (b *Budget) level() float64 {
+	part := b.left / b.entitled
+	if part > amplePart {
+		return b.top
+	}
+	return b.top * levelSlope * part
+}
+
 // Charge takes one retry that is sent in any case, as by a run that is itself
 // a retry.
 func (b *Budget) Charge() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens--
+	b.turn()
+	b.take()
+}
+
+func (b *Budget) take() {
+	b.slots[b.newest].retries++
+	b.left--
+}
+
+// turn opens the slots that time has reached; b.mu is held.
+func (b *Budget) turn() {
+	behind := int(b.now().Sub(b.at) / slotTime)
+	if behind <= 0 {
+		return
+	}
+	for range min(behind, recordSlots) {
+		b.top *= topKeep
+		b.newest = (b.newest + 1) % recordSlots
+		b.slots[b.newest] = slot{}
+	}
+	b.at = b.at.Add(time.Duration(behind) * slotTime)
+	b.entitled = b.saved + b.ratio*float64(b.attempts())
+	b.left = b.entitled - float64(b.spent())
+}
+
+// spent returns the retries of the present window.
+func (b *Budget) spent() int {
+	n := 0
+	for i := range windowSlots {
+		n += b.slots[(b.newest-i+recordSlots)%recordSlots].retries
+	}
+	return n
+}
+
+// attempts returns the attempts that entitle to the retries of the present
+// window, and go on to do so until it has passed: of each window that still
+// contains it, the fullest of the window itself, the one half a window before
+// and the one before, as far as they are known now; and of these the least.
+func (b *Budget) attempts() int {
+	var until [recordSlots + 1]int
+	for i := range recordSlots {
+		until[i+1] = until[i] + b.slots[(b.newest+1+i)%recordSlots].attempts
+	}
+	between := func(from, to int) int {
+		return until[min(to, recordSlots)] - until[max(from, 0)]
+	}
+	least := until[recordSlots]
+	for later := range windowSlots + 1 {
+		end := recordSlots + later
+		most := max(between(end-windowSlots, end), between(end-windowSlots*3/2, end-windowSlots/2), between(end-2*windowSlots, end-windowSlots))
+		least = min(least, most)
+	}
+	return least
 }
 
 // Budgets keeps one Budget for each service.
 type Budgets struct {
 	ratio float64
+	now   func() time.Time
 
 	mu    sync.Mutex
 	saved float64
 	m     map[string]*Budget
 }
 
-// NewBudgets returns an empty set of budgets that earn ratio for each first
-// attempt and save up to saved retries.
-func NewBudgets(ratio, saved float64) *Budgets {
-	return &Budgets{ratio: ratio, saved: saved, m: make(map[string]*Budget)}
+// NewBudgets returns an empty set of budgets of ratio for each attempt and of
+// saved beside.
+func NewBudgets(ratio, saved float64, now func() time.Time) *Budgets {
+	return &Budgets{ratio: ratio, saved: saved, now: now, m: make(map[string]*Budget)}
 }
 
-// Save sets how many retries each budget saves.
+// Save sets how many retries of each budget need not be earned.
 func (b *Budgets) Save(saved float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -111,7 +197,7 @@
 	defer b.mu.Unlock()
 	bud, ok := b.m[service]
 	if !ok {
-		bud = NewBudget(b.ratio, b.saved)
+		bud = NewBudget(b.ratio, b.saved, b.now)
 		b.m[service] = bud
 	}
 	return bud
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,7 +128,7 @@
 		gate:        admit.New(admit.Config{Slots: cfg.Slots, WarmUp: cfg.WarmUp, Mode: cfg.Mode, Now: time.Now}),
 		table:       route.New(cfg.ID, cfg.Zone, time.Now),
 		shares:      allow.NewShares(),
-		budgets:     allow.NewBudgets(allow.RatioUsed*cfg.RetryRatio, allow.DefaultSaved),
+		budgets:     allow.NewBudgets(allow.RatioUsed*cfg.RetryRatio, allow.DefaultSaved, time.Now),
 		actions:     allow.NewActions(actionsKeep, time.Now),
 		report:      burn.New(time.Now),
 		peers:       peer.New(peer.Config{Local: cfg.Addr.Addr(), Idle: idlePeerConns, IdleFor: idlePeerFor}),
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -402,6 +402,10 @@
 	s.configure(7, "two")
 	one, two := s.add("one"), s.add("two")
 	s.served(5*time.Second, one, "two")
+	// All of them run at once; none waits in the queue.
+	if got := two.beat(1, 8, false); got != 200 {
+		t.Fatalf("heartbeat answered %d", got)
+	}
 	two.hold.Store(int64(400 * time.Millisecond))
 	var g errgroup.Group
 	var whole atomic.Int64
