--- a/front/front_test.go
+++ b/front/front_test.go
@@ -22,7 +22,7 @@
 	if got.err != nil || got.status != 200 || got.body != "run of /view//a/b body" {
 		t.Fatalf("answer %+v", got)
 	}
-	if got.header.Get(names.RequestID) != "r1" || got.header.Get(names.Signature) != "s" || got.header.Get("Syca-Outcome") != "" {
+	if got.header.Get(names.RequestID) != "r1" || got.header.Get(names.Signature) != "s" || got.header.Get("Syca-Hop") != "" {
 		t.Errorf("header %v", got.header)
 	}
 	saw := far.requests()[0]
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,7 +15,6 @@
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/life"
 	"sycamorespread.dev/poison"
-	"sycamorespread.dev/policy"
 )
 
 // serverGrace is how much longer than the deadline the backend server's own word is awaited.
@@ -33,14 +33,13 @@
 		refusal(whyLost).encodeHop(w)
 		return
 	}
-	a.route = &policy.Route{Name: a.routeName, Repeatable: a.repeatable}
 	a.length = r.ContentLength
 	a.body, a.stream, err = readBody(r.Body, r.ContentLength)
 	if err != nil {
 		refusal(whyGone).encodeHop(w)
 		return
 	}
-	f.runUntil(r.Context(), a.request).encodeHop(w)
+	f.runUntil(r.Context(), a).encodeHop(w)
 }
 
 // runUntil runs a request until its deadline and a moment more, in which the
@@ -173,7 +172,7 @@
 
 // serverRequest returns the request as the backend server gets it.
 func (f *Front) serverRequest(r *request, s life.Server) *httpc.Request {
-	h := r.header.Clone()
+	h := maps.Clone(r.header)
 	left := max(1, r.deadline.Sub(f.Now()).Milliseconds())
 	h.Set(f.Headers.TimeLeft, strconv.FormatInt(left, 10))
 	h.Set(f.Headers.Expected, s.Instance)
--- a/front/rig_test.go
+++ b/front/rig_test.go
@@ -23,6 +23,7 @@
 	"sycamorespread.dev/front"
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/life"
+	"sycamorespread.dev/logs"
 	"sycamorespread.dev/poison"
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/route"
@@ -243,7 +244,7 @@
 	if r.quiet {
 		log.SetOutput(io.Discard)
 	}
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true})
+	log.SetFormatter(logs.Formatter{})
 	i.Front = front.New(front.Config{
 		Self: i.id, Service: service, App: i.addr(), Headers: names,
 		Policy: r.policy, Server: i.keeper.Server, Lost: i.keeper.Lost,
--- a/front/trace.go
+++ b/front/trace.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sycamorespread.dev/action"
+	"sycamorespread.dev/logs"
 )
 
 // trace collects what a request went through, for its log line.
@@ -39,28 +40,31 @@
 	return logrus.Fields{"request": r.id, "route": name, "service": r.service}
 }
 
+// pairs returns what identifies a request, for the line that each has.
+func (f *Front) pairs(r *request) *logs.Pairs {
+	name := ""
+	if r.route != nil {
+		name = r.route.Name
+	}
+	return new(logs.Pairs).Add("request", r.id).Add("route", name).Add("service", r.service).Add("key", uint32(r.key))
+}
+
 // logEntry writes the line of a request at the entry.
 func (f *Front) logEntry(r *request, outcome string) {
 	took := f.Now().Sub(r.arrived)
 	f.Stats.Request(outcome, took)
-	fields := f.fields(r)
-	fields["outcome"] = outcome
-	fields["status"] = r.log.status
-	fields["ms"] = millis(took)
-	fields["revision"] = r.revision
-	fields["key"] = uint32(r.key)
-	fields["own"] = r.own
+	p := f.pairs(r).Add("outcome", outcome).Add("status", r.log.status).Add("ms", millis(took)).
+		Add("revision", r.revision).Add("own", r.own)
 	if r.log.after > 0 {
-		fields["retry_after_ms"] = r.log.after.Milliseconds()
+		p.Add("retry_after_ms", r.log.after.Milliseconds())
 	}
 	if r.log.leveled {
-		fields["admits"] = uint32(r.log.level)
-		fields["admits_age_ms"] = r.log.levelAge.Milliseconds()
+		p.Add("admits", uint32(r.log.level)).Add("admits_age_ms", r.log.levelAge.Milliseconds())
 	}
 	if len(r.log.sends) > 0 {
-		fields["sends"] = strings.Join(r.log.sends, ",")
+		p.Add("sends", strings.Join(r.log.sends, ","))
 	}
-	f.Log.WithFields(fields).Info("request")
+	f.Log.WithField(logs.PairsKey, p).Info("request")
 }
 
 // logRun writes the line of a request at the ingress.
@@ -70,18 +74,11 @@
 		word = a.outcome.String()
 	}
 	f.Stats.Run(word, a.waited, a.ran)
-	fields := f.fields(r)
-	fields["outcome"] = word
-	fields["status"] = a.status
-	fields["waited_ms"] = millis(a.waited)
-	fields["ran_ms"] = millis(a.ran)
-	fields["running"] = a.load.running
-	fields["queued"] = a.load.queued
-	fields["limit"] = a.load.limit
-	fields["admits"] = uint32(f.Gate.Level())
-	fields["key"] = uint32(r.key)
-	fields["instance"] = f.Server().Instance
-	f.Log.WithFields(fields).Info("run")
+	p := f.pairs(r).Add("outcome", word).Add("status", a.status).
+		Add("waited_ms", millis(a.waited)).Add("ran_ms", millis(a.ran)).
+		Add("running", a.load.running).Add("queued", a.load.queued).Add("limit", a.load.limit).
+		Add("admits", uint32(f.Gate.Level())).Add("instance", f.Server().Instance)
+	f.Log.WithField(logs.PairsKey, p).Info("run")
 }
 
 func millis(d time.Duration) float64 {
--- a/logs/line.go
+++ b/logs/line.go
@@ -42,6 +42,10 @@
 	}
 	slices.Sort(*keys)
 	for _, k := range *keys {
+		if p, ok := e.Data[k].(*Pairs); ok {
+			b.Write(p.b)
+			continue
+		}
 		b.WriteByte(' ')
 		b.WriteString(k)
 		b.WriteByte('=')
@@ -84,6 +88,29 @@
 	b.Write(strconv.AppendQuote(b.AvailableBuffer(), s))
 }
 
+// PairsKey is the name under which an entry carries Pairs.
+const PairsKey = "~pairs"
+
+// Pairs are fields in the order in which they were added, for the lines that a
+// daemon writes for each request: no map is built and none is sorted. They come
+// after the other fields of an entry.
+//
+//	log.WithField(logs.PairsKey, new(logs.Pairs).Add("request", id).Add("status", 503)).Info("request")
+type Pairs struct {
+	b []byte
+}
+
+// Add appends one field and returns p.
+func (p *Pairs) Add(key string, v any) *Pairs {
+	b := bytes.NewBuffer(p.b)
+	b.WriteByte(' ')
+	b.WriteString(key)
+	b.WriteByte('=')
+	value(b, v)
+	p.b = b.Bytes()
+	return p
+}
+
 func plain(s string) bool {
 	if s == "" {
 		return false
--- a/logs/line_test.go
+++ b/logs/line_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+func TestPairsKeepTheirOrder(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(logs.Formatter{})
+	p := new(logs.Pairs).Add("request", "r 1").Add("status", 503).Add("ms", 0.5).Add("own", false)
+	log.WithTime(time.Date(2026, 12, 4, 7, 8, 9, 0, time.UTC)).WithField("id", "i1").WithField(logs.PairsKey, p).Info("request")
+	want := "time=\"07:08:09.000\" level=info msg=request id=i1 request=\"r 1\" status=503 ms=0.5 own=false\n"
+	if out.String() != want {
+		t.Errorf("got  %swant %s", out.String(), want)
+	}
+}
+
 func BenchmarkFormatter(b *testing.B) {
 	log := logrus.New()
 	log.SetOutput(new(bytes.Buffer))
