--- a/front/bench_test.go
+++ b/front/bench_test.go
@@ -33,7 +33,9 @@
 		if err != nil || resp.StatusCode != http.StatusOK {
 			b.Fatal(resp, err)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/route/chain_test.go
+++ b/route/chain_test.go
@@ -79,7 +79,6 @@
 	mu   sync.Mutex
 	rnd  *rand.Rand
 	ends map[string][]counts
-	busy map[string]time.Duration
 	// fill sums the shares of the slots in use at a service, by second, one for each tick of an instance.
 	fill map[string][]float64
 }
