--- a/route/route_test.go
+++ b/route/route_test.go
@@ -148,3 +148,36 @@
 		t.Fatalf("%d servers of 200 are used from two zones, want at most 32", len(seen))
 	}
 }
+
+// Three servers were heard while there was room, five since the surge began.
+// The level of the service is that of the later ones, but one of them alone
+// does not close it.
+func TestLevelOfAServiceIsTheMiddleOfTheLatest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tab := table(&now, "a", "a", "a", "a", "a", "a", "a", "a")
+	hear := func(i int, level action.Level) {
+		try, err := tab.Direct(fmt.Sprintf("plots-%d", i), "get")
+		if err != nil {
+			t.Fatal(err)
+		}
+		try.Done(route.Report{Level: level})
+	}
+	for i := range 3 {
+		hear(i, action.Open)
+	}
+	now = now.Add(500 * time.Millisecond)
+	const low = action.Level(1 << 16)
+	hear(3, low)
+	if got := tab.Level(service, "get"); got != action.Open {
+		t.Errorf("one low level of four made it %d", got)
+	}
+	for i := 4; i < 8; i++ {
+		hear(i, low)
+	}
+	if got := tab.Level(service, "get"); got != low {
+		t.Errorf("level %d, want %d", got, low)
+	}
+	if _, err := tab.Pick(request(3 << 16)); err == nil {
+		t.Error("a server that was heard before the surge took the request")
+	}
+}
