--- a/allow/allow_test.go
+++ b/allow/allow_test.go
@@ -285,3 +285,13 @@
 		}
 	}
 }
+
+// BenchmarkBudgetSlot measures what a budget costs ten times a second.
+func BenchmarkBudgetSlot(b *testing.B) {
+	now := time.Unix(1000, 0)
+	bud := allow.NewBudget(0.2, 10, func() time.Time { return now })
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		bud.Earn()
+	}
+}
