route: the level that decided a refusal is the one in the log

A refusal at the entry told the highest level of the candidates, though the common one had decided. Names and comments of the change read again.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -9,7 +9,7 @@
 //
 // The Gate also computes a Level, the least important key that the backend
 // server has capacity for. Daemons upstream learn it from every reply and
-// shed there, before any work is spent. See Control for how it moves.
+// shed there, before any work is spent. See control for how it moves.
 //
 //	g := admit.New(admit.Config{Slots: 60, Now: time.Now})
 //	pass, err := g.Enter(ctx, admit.Call{ID: id, Key: key, Method: "get", Deadline: deadline})
--- a/route/chain_test.go
+++ b/route/chain_test.go
@@ -319,7 +319,7 @@
 }
 
 // chainShape is a deployment whose calls end at one deep service: a view makes
-// four calls there, a payment eight, a lookup is one. At a surge of 1.8 the
+// four calls there, a payment eight, a lookup is one. At a surge of 1.75 the
 // payments and lookups take 0.8 of it and the views would take as much again.
 func chainShape() shape {
 	ms := time.Millisecond
--- a/route/route.go
+++ b/route/route.go
@@ -4,8 +4,10 @@
 // what their replies told: load, admission levels, failures. Pick takes the
 // less loaded of two random candidates, prefers the daemon's own availability
 // zone until that one is clearly busier, and leaves out every candidate whose
-// level would shed the call. Levels that are not heard again decay within a
-// second, so that shedding does not outlast its cause.
+// level would shed the call. The call is shed when the level of the service,
+// the middle one of those heard last, is below its key. Levels that are not
+// heard again decay within a second, so that shedding does not outlast its
+// cause.
 //
 //	try, err := table.Pick(route.Request{Service: "plots", Method: "get", Key: key})
 //	if err != nil {
@@ -74,9 +76,9 @@
 	Sticky uint64
 	// IgnoreLevel takes no notice of levels.
 	IgnoreLevel bool
-	// Invested tells that work was done for the call upstream. It goes to the
-	// least overloaded server when every level would shed it, since the queue
-	// there may still prefer it.
+	// Invested tells that work was done for the call upstream. No level sheds it,
+	// and it goes to a server by load alone: with the levels, the servers of one
+	// service would see different keys and drift apart.
 	Invested bool
 }
 
@@ -93,7 +95,7 @@
 type ShedError struct {
 	Service    string
 	RetryAfter time.Duration
-	// Level is the highest that was heard of the candidates, Age how long ago.
+	// Level is the one that decided, Age how long ago the last one was heard.
 	Level action.Level
 	Age   time.Duration
 }
@@ -205,7 +207,7 @@
 		open = admitting(up, req, now)
 	}
 	if len(open) == 0 {
-		level, age := latest(up, req.Method, now)
+		level, age := decisive(up, req.Method, now)
 		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter, Level: level, Age: age}
 	}
 	return t.try(t.choose(open, req.Method, now), req.Method), nil
@@ -264,15 +266,15 @@
 // of the service sheds it. One whose own level was not heard of late is taken
 // to have that of the service; one that never answered is open.
 func admitting(list []*state, req Request, now time.Time) []*state {
-	common, known := common(list, req.Method, now)
-	if known && !common.Admits(req.Key) {
+	shared, known := commonLevel(list, req.Method, now)
+	if known && !shared.Admits(req.Key) {
 		return nil
 	}
 	open := make([]*state, 0, len(list))
 	for _, s := range list {
 		level := s.level(req.Method, now)
 		if n, ok := s.levels[req.Method]; ok && known && now.Sub(n.at) > levelHold {
-			level = common
+			level = shared
 		}
 		if level.Admits(req.Key) {
 			open = append(open, s)
@@ -284,12 +286,12 @@
 	return open
 }
 
-// common returns the level of a service for a method, if any was heard within
+// commonLevel returns the level of a service for a method, if any was heard within
 // levelHold: the middle one of those heard last. What binds is mostly deeper
 // and common to all candidates, so that the highest level is mostly the oldest;
 // with it, each hop of a chain would add the age of a level to the time after
 // which a surge is noticed, and the load would swing.
-func common(list []*state, method string, now time.Time) (action.Level, bool) {
+func commonLevel(list []*state, method string, now time.Time) (action.Level, bool) {
 	var last [commonOf]note
 	n := 0
 	for _, s := range list {
@@ -323,9 +325,9 @@
 	return n
 }
 
-// latest returns the highest level of the candidates and the age of the note
-// that was heard last.
-func latest(list []*state, method string, now time.Time) (action.Level, time.Duration) {
+// decisive returns the level by which the candidates shed a call, the common
+// one or else the highest, and the age of the note that was heard last.
+func decisive(list []*state, method string, now time.Time) (action.Level, time.Duration) {
 	var best action.Level
 	age := levelHold + levelFade
 	for _, s := range list {
@@ -334,6 +336,9 @@
 			age = min(age, now.Sub(n.at))
 		}
 	}
+	if shared, known := commonLevel(list, method, now); known {
+		return shared, age
+	}
 	return best, age
 }
 
@@ -431,7 +436,7 @@
 func (t *Table) Level(service, method string) action.Level {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	level, known := common(t.services[service], method, t.now())
+	level, known := commonLevel(t.services[service], method, t.now())
 	if !known {
 		return action.Open
 	}
