life: a late report does not bring back a server that left

Now such a report counts only when its start is later than the leave, or after 30 s. The time of day decides nothing else; if the clock went back, the server is used 30 s later. TestLateReportAfterALeaveWithoutAStart fails before.

--- a/life/life.go
+++ b/life/life.go
@@ -19,6 +19,10 @@
 	"time"
 )
 
+// leaveKeep is for how long a server that said it leaves may still send reports. Servers serve for some seconds more,
+// at times many, before they end.
+const leaveKeep = 30 * time.Second
+
 // State tells whether a backend server takes work.
 type State int
 
@@ -101,7 +105,7 @@
 		if r.Born.Before(s.Born) || r.Born.Equal(s.Born) && r.Sequence <= s.Sequence {
 			return false
 		}
-		fresh := r.Born.After(s.Born)
+		fresh := r.Born.After(s.Born) && !k.left(s, r)
 		was := s.State
 		s.Report = r
 		s.ColdUntil = k.now().Add(r.Cold)
@@ -116,6 +120,16 @@
 	return true
 }
 
+// left reports whether a report is of a server that said it leaves while its
+// start was not known. One that started later has a later time of day, unless
+// the clock went back; after leaveKeep the server that left is gone.
+func (k *Keeper) left(s *Server, r Report) bool {
+	if s.State != Leaving || !s.Born.IsZero() || s.Instance != r.Instance {
+		return false
+	}
+	return !r.Born.After(s.Since) && k.now().Sub(s.Since) < leaveKeep
+}
+
 // Found takes the answer of a server that was asked what it is. It counts only
 // until the server has said something of itself.
 func (k *Keeper) Found(id, service string, slots int) {
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -112,6 +112,37 @@
 	}
 }
 
+// The word that a server leaves does not say when it started, and a report that
+// it sent before arrives after it, at a daemon that was started again.
+func TestLateReportAfterALeaveWithoutAStart(t *testing.T) {
+	now := time.Now()
+	for _, found := range []bool{false, true} {
+		k := life.New(addr, func() time.Time { return now }, nil)
+		if found {
+			k.Found("a", "s", 4)
+		}
+		k.Leave("a", time.Time{})
+		started := now.Add(-20 * time.Second).UnixMilli()
+		k.Beat(report("a", started, 15, false))
+		k.Beat(report("a", started, 16, false))
+		if s := k.Server(); s.State != life.Leaving {
+			t.Errorf("found %t: a late report brought the server back: %+v", found, s)
+		}
+		k.Beat(report("a", now.Add(time.Second).UnixMilli(), 1, false))
+		if s := k.Server(); s.State != life.Ready {
+			t.Errorf("found %t: the next start under the ID: %+v", found, s)
+		}
+	}
+	// The clock went back between the leave and the next start.
+	k := life.New(addr, func() time.Time { return now }, nil)
+	k.Leave("a", time.Time{})
+	now = now.Add(time.Minute)
+	k.Beat(report("a", now.Add(-2*time.Minute).UnixMilli(), 1, false))
+	if s := k.Server(); s.State != life.Ready {
+		t.Errorf("a minute later: %+v", s)
+	}
+}
+
 // Whatever the order, what counts in the end is the newest start, and a server
 // that said it leaves stays so.
 func TestAnyOrder(t *testing.T) {
