httpc, guard, front: answers without end are bounded, a second answer is skipped, a panic ends one request

Cause of the first: http.ReadResponse has no bound on a head. Chunk extensions and trailers were bounded by the standard library already. A body with Buffer 0 was read whole whatever its length said.

Second: an answer that a server sends again on a connection in use was taken for a loss of the request's own. Such an answer is discarded now and the own one read behind it.

A panic now ends its packet, call or request, with its stack in a log line and a count; loops start again after 500 ms; the slot and the load of a request are given back.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"sycamorespread.dev/burn"
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/front"
+	"sycamorespread.dev/guard"
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/invar"
 	"sycamorespread.dev/life"
@@ -86,6 +87,7 @@
 	backend  *server.Client
 	platform *store.Client
 	stats    *stats.Set
+	guard    *guard.Guard
 	claims   *rate.Limiter
 	runs     *runs
 	deeps    *deeps
@@ -141,6 +143,7 @@
 		routesStale: make(chan struct{}, 1),
 		pulls:       make(chan pull, 1),
 	}
+	d.guard = guard.New(log, d.stats.Panic)
 	monotonic := func() time.Duration { return time.Since(started) }
 	d.stopTimes.Store(&cfg.Front)
 	d.home = ticket.NewHome(cfg.ID, rand.Uint64(), cfg.TicketValid, monotonic)
@@ -203,17 +206,17 @@
 	g.Go(func() error { return d.node.Run(inner) })
 	g.Go(func() error { return d.peerServer().Serve(inner, d.drpc) })
 	g.Go(func() error { return serveWeb(web, d.http) })
-	g.Go(func() error { return d.tickLoop(inner) })
-	g.Go(func() error { return d.routeLoop(inner) })
+	g.Go(func() error { return d.guard.Loop(inner, "tick", d.tickLoop) })
+	g.Go(func() error { return d.guard.Loop(inner, "routes", d.routeLoop) })
 	if d.front != nil {
 		d.runFront(inner, g)
 	} else {
-		g.Go(func() error { return d.healthLoop(inner) })
+		g.Go(func() error { return d.guard.Loop(inner, "health", d.healthLoop) })
 	}
-	g.Go(func() error { return d.joinLoop(inner) })
-	g.Go(func() error { return d.seedLoop(inner) })
-	g.Go(func() error { return d.watchLoop(inner) })
-	g.Go(func() error { return d.pullLoop(inner) })
+	g.Go(func() error { return d.guard.Loop(inner, "join", d.joinLoop) })
+	g.Go(func() error { return d.guard.Loop(inner, "seed", d.seedLoop) })
+	g.Go(func() error { return d.guard.Loop(inner, "watch", d.watchLoop) })
+	g.Go(func() error { return d.guard.Loop(inner, "pull", d.pullLoop) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -105,6 +105,7 @@
 		Backend:  d.app,
 		Served:   d.burnRoute,
 		Stats:    d.stats,
+		Guard:    d.guard,
 		Log:      d.log,
 		Now:      time.Now,
 	})
@@ -128,21 +129,21 @@
 func (d *Daemon) frontServers() []*http.Server {
 	c := d.cfg.Front
 	list := []*http.Server{
-		d.httpServer(c.Outbound, d.front.Outbound(), outboundIdle),
-		d.httpServer(c.Inbound, d.front.Inbound(), inboundIdle),
-		d.httpServer(c.Ready, http.HandlerFunc(d.serveReady), outboundIdle),
-		d.httpServer(c.Control, d.links.Heartbeats(Beats{Beat: d.keeper.Beat, Leave: d.serverLeaves, Bad: d.badBeat}), outboundIdle),
+		d.httpServer("entry", c.Outbound, d.front.Outbound(), outboundIdle),
+		d.httpServer("ingress", c.Inbound, d.front.Inbound(), inboundIdle),
+		d.httpServer("ready", c.Ready, http.HandlerFunc(d.serveReady), outboundIdle),
+		d.httpServer("heartbeat", c.Control, d.links.Heartbeats(Beats{Beat: d.keeper.Beat, Leave: d.serverLeaves, Bad: d.badBeat}), outboundIdle),
 	}
 	if c.Metrics.IsValid() {
-		list = append(list, d.httpServer(c.Metrics, http.HandlerFunc(d.serveMetrics), outboundIdle))
+		list = append(list, d.httpServer("metrics", c.Metrics, http.HandlerFunc(d.serveMetrics), outboundIdle))
 	}
 	return list
 }
 
-func (d *Daemon) httpServer(addr netip.AddrPort, h http.Handler, idle time.Duration) *http.Server {
+func (d *Daemon) httpServer(task string, addr netip.AddrPort, h http.Handler, idle time.Duration) *http.Server {
 	return &http.Server{
 		Addr:              addr.String(),
-		Handler:           h,
+		Handler:           d.guard.Handler(task, h),
 		ReadHeaderTimeout: headerWait,
 		IdleTimeout:       idle,
 		MaxHeaderBytes:    maxHeader,
@@ -166,8 +167,8 @@
 	for _, s := range d.fronts {
 		g.Go(func() error { return serveWeb(s.Server, s.l) })
 	}
-	g.Go(func() error { return d.front.WatchPeers(ctx) })
-	g.Go(func() error { return d.probeServer(ctx) })
+	g.Go(func() error { return d.guard.Loop(ctx, "contact", d.front.WatchPeers) })
+	g.Go(func() error { return d.guard.Loop(ctx, "ask", d.probeServer) })
 	g.Go(func() error {
 		for sleep(ctx, sweepEvery) {
 			d.hops.Sweep()
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -67,6 +67,7 @@
 		Poison:   d.book.Merge,
 		Changed:  d.routesChanged,
 		Exchange: d.exchange,
+		Guard:    d.guard,
 	}
 }
 
--- a/daemon/web.go
+++ b/daemon/web.go
@@ -35,7 +35,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           http.MaxBytesHandler(mux, maxRequest),
+		Handler:           d.guard.Handler("call", http.MaxBytesHandler(mux, maxRequest)),
 		ReadHeaderTimeout: headerWait,
 		MaxHeaderBytes:    maxHeader,
 		Protocols:         &protocols,
@@ -58,5 +58,6 @@
 		OnSync:       d.node.Answer,
 		OnPull:       d.givePolicy,
 		OnLocalBurn:  d.localBurn,
+		Guard:        d.guard,
 	}
 }
--- a/front/contact.go
+++ b/front/contact.go
@@ -185,8 +185,9 @@
 		case <-t.C:
 		}
 		for _, id := range f.contacts.due(f.Now()) {
+			// A probe that panics has told nothing of its peer.
 			g.Go(func() error {
-				f.probe(ctx, id)
+				_ = f.Guard.Call("contact", func() { f.probe(ctx, id) })
 				return nil
 			})
 		}
--- a/front/entry.go
+++ b/front/entry.go
@@ -155,10 +155,7 @@
 			return nil, f.noTarget(r, err, sends, last)
 		}
 		r.again = r.again || sends > 0
-		began := f.Now()
-		last = f.send(ctx, r, try.Target)
-		f.report(try, last, f.Now().Sub(began))
-		r.log.add(try.Target.ID, last)
+		last = f.attempt(ctx, r, try)
 		if last.outcome == answered {
 			return last, final{}
 		}
@@ -181,6 +178,16 @@
 	return nil, f.giveUp(r, last, sends)
 }
 
+// attempt sends a request to one instance and tells the table how it ended.
+func (f *Front) attempt(ctx context.Context, r *request, try *route.Try) *answer {
+	began := f.Now()
+	a := lost(whyLost)
+	defer func() { f.report(try, a, f.Now().Sub(began)) }()
+	a = f.send(ctx, r, try.Target)
+	r.log.add(try.Target.ID, a)
+	return a
+}
+
 func (f *Front) pick(r *request, avoid []string) (*route.Try, error) {
 	return f.Table.Pick(route.Request{Service: r.service, Method: r.route.Name, Key: r.key, Avoid: avoid, Invested: r.own})
 }
--- a/front/front.go
+++ b/front/front.go
@@ -29,6 +29,7 @@
 
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
+	"sycamorespread.dev/guard"
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/life"
 	"sycamorespread.dev/poison"
@@ -92,6 +93,8 @@
 	Served func(r *policy.Route, service string, inTime bool)
 	Stats  *stats.Set
 	Log    *logrus.Entry
+	// Guard keeps a panic over one probe from ending the process; nil for none.
+	Guard *guard.Guard
 	// Now reads a clock that never goes back.
 	Now func() time.Time
 }
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -20,6 +20,10 @@
 // serverGrace is how much longer than the deadline the backend server's own word is awaited.
 const serverGrace = 80 * time.Millisecond
 
+// strangerWait is how long the answer to a repeatable request is awaited after an answer to another request;
+// most runs take less, and another instance can still answer in time.
+const strangerWait = 500 * time.Millisecond
+
 // ingress takes a request of another Front.
 func (f *Front) ingress(w http.ResponseWriter, r *http.Request) {
 	if f.Closing() {
@@ -103,15 +107,16 @@
 	if err != nil {
 		return refusal(whyNotAdmitted(err))
 	}
+	verdict := admit.Lost
+	defer func() { pass.Leave(verdict) }()
 	waited := f.Now().Sub(asked)
 	// The server may have said that it leaves while the request waited.
 	if why := f.unwilling(r); why != "" {
-		pass.Leave(admit.Lost)
 		return refusal(why)
 	}
 	began := f.Now()
-	ans, verdict := f.callServer(ctx, r)
-	pass.Leave(verdict)
+	var ans *answer
+	ans, verdict = f.callServer(ctx, r)
 	ans.waited, ans.ran = waited, f.Now().Sub(began)
 	return ans
 }
@@ -187,8 +192,15 @@
 		Length: r.length,
 		Buffer: answerBuffer,
 	}
+	req.Stranger = func(h http.Header) bool {
+		id := h.Get(f.Headers.RequestID)
+		return id != "" && id != r.id
+	}
+	req.StrangerWait = strangerWait
 	if !r.route.Repeatable {
 		req.Fresh = freshUnrepeatable
+		// Nothing better can be done for it than to wait.
+		req.StrangerWait = 0
 	}
 	return req
 }
@@ -205,7 +217,11 @@
 		f.Backend.Forget(f.App)
 		return refusal(whyDown), admit.Lost
 	}
+	var stranger *httpc.StrangerError
 	switch {
+	case errors.As(err, &stranger):
+		f.Log.WithFields(f.fields(r)).WithField("err", err).Warn("answer belongs to no request")
+		return lost(whyLost), admit.Lost
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return lost(whyTimeout), admit.Lost
 	case ctx.Err() != nil:
--- a/httpc/conn.go
+++ b/httpc/conn.go
@@ -34,6 +34,7 @@
 // conn is one connection; one request at a time uses it.
 type conn struct {
 	nc   net.Conn
+	in   *meter
 	br   *bufio.Reader
 	addr netip.AddrPort
 	// idleSince is when the last answer ended.
@@ -54,7 +55,8 @@
 		return nil, &DialError{Addr: addr, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
 	p.dials.Add(1)
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), addr: addr, keep: p.cfg.Idle}, nil
+	in := &meter{r: nc, left: unbounded}
+	return &conn{nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer), addr: addr, keep: p.cfg.Idle}, nil
 }
 
 // limitUnacked makes the kernel break a connection whose peer does not
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -33,10 +33,16 @@
 	Idle time.Duration
 	// MaxIdle is the number of idle connections kept for one address.
 	MaxIdle int
+	// Head bounds the head of an answer with the interim answers before it, in bytes; 0 stands for DefaultHead.
+	Head int64
 	// Now reads the clock.
 	Now func() time.Time
 }
 
+// DefaultHead is the bound on the head of an answer, in bytes: an answer between daemons
+// names the levels of several hundred routes at some 30 bytes each.
+const DefaultHead = 64 << 10
+
 // DialError reports a server that could not be reached; nothing was sent.
 type DialError struct {
 	Addr netip.AddrPort
@@ -81,6 +87,9 @@
 
 // New returns an empty pool.
 func New(cfg Config) *Pool {
+	if cfg.Head <= 0 {
+		cfg.Head = DefaultHead
+	}
 	return &Pool{cfg: cfg, idle: map[netip.AddrPort][]*conn{}}
 }
 
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -30,8 +30,13 @@
 	Length int64
 	// Fresh, when above 0, is how long a reused connection may have been idle.
 	Fresh time.Duration
-	// Buffer is the largest answer that is read whole before Do returns, in bytes.
+	// Buffer is the largest body that is read whole before Do returns, in bytes. With 0 any body is left to Rest.
 	Buffer int64
+	// Stranger, when set, reports whether an answer is to another request, by its header. Such an answer is
+	// discarded, and the request's own is awaited behind it.
+	Stranger func(http.Header) bool
+	// StrangerWait bounds that wait; with 0 the context does.
+	StrangerWait time.Duration
 }
 
 // Response is an answer. Close must be called.
@@ -68,6 +73,7 @@
 
 // exchange is one request on its connection.
 type exchange struct {
+	ctx  context.Context //nolint:containedctx // An exchange lives as long as its request.
 	p    *Pool
 	c    *conn
 	req  *Request
@@ -76,6 +82,8 @@
 	sent *errgroup.Group
 	// whole tells that the request was sent wholly.
 	whole bool
+	// strangers counts the answers to other requests that came before the own one.
+	strangers int
 }
 
 // Do sends a request once and returns its answer. It returns a *DialError
@@ -89,12 +97,12 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{p: p, c: c, req: req}
+	x := &exchange{ctx: ctx, p: p, c: c, req: req}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(past) })
 	resp, err := x.run()
 	if err != nil {
 		x.abort()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && x.strangers == 0 {
 			err = ctx.Err()
 		}
 		return nil, &LostError{Addr: addr, Reused: c.reused, Err: err}
@@ -110,6 +118,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the header")
 	}
+	if x.isStranger(resp) {
+		resp, err = x.own(resp) //nolint:bodyclose // The body ends with its connection.
+	}
+	if err != nil {
+		return nil, err
+	}
 	return x.body(resp)
 }
 
@@ -192,6 +206,8 @@
 
 // header reads the final answer's header.
 func (x *exchange) header() (*http.Response, error) {
+	x.c.in.begin(x.p.cfg.Head)
+	defer x.c.in.end()
 	asked := &http.Request{Method: x.req.Method}
 	for range maxInterim {
 		resp, err := http.ReadResponse(x.c.br, asked)
@@ -211,7 +227,7 @@
 // body reads the body up to the buffer of the request.
 func (x *exchange) body(resp *http.Response) (*Response, error) {
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	if x.req.Buffer > 0 && resp.ContentLength > x.req.Buffer {
+	if resp.ContentLength > x.req.Buffer {
 		x.leave(out, resp, nil)
 		return out, nil
 	}
@@ -261,7 +277,7 @@
 
 // finish keeps the connection when nothing on it is in doubt.
 func (x *exchange) finish(resp *http.Response, whole bool) {
-	if !x.stop() || !whole || !x.whole || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || x.c.br.Buffered() > 0 {
+	if !x.stop() || x.strangers > 0 || !whole || !x.whole || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || x.c.br.Buffered() > 0 {
 		x.abort()
 		return
 	}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -174,7 +174,8 @@
 		if proto.Unmarshal(b[:size], p) != nil {
 			continue
 		}
-		n.handle(ctx, p, size)
+		// The next packet may be sound.
+		_ = n.cfg.Guard.Call("packet", func() { n.handle(ctx, p, size) })
 	}
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -27,6 +27,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"sycamorespread.dev/guard"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -69,6 +70,8 @@
 	Changed func()
 	// Exchange sends a SyncRequest to the daemon at addr.
 	Exchange func(ctx context.Context, addr netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error)
+	// Guard keeps a panic over one packet or task from ending the process; nil for none.
+	Guard *guard.Guard
 }
 
 // Conn is the part of a UDP socket that a Node uses.
@@ -141,10 +144,10 @@
 // Run receives, probes, gossips and exchanges until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return n.receive(ctx) })
-	g.Go(func() error { return n.probeLoop(ctx) })
-	g.Go(func() error { return n.gossipLoop(ctx) })
-	g.Go(func() error { return n.syncLoop(ctx) })
+	g.Go(func() error { return n.cfg.Guard.Loop(ctx, "receive", n.receive) })
+	g.Go(func() error { return n.cfg.Guard.Loop(ctx, "probe", n.probeLoop) })
+	g.Go(func() error { return n.cfg.Guard.Loop(ctx, "gossip", n.gossipLoop) })
+	g.Go(func() error { return n.cfg.Guard.Loop(ctx, "sync", n.syncLoop) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return n.conn.Close()
--- a/member/merge.go
+++ b/member/merge.go
@@ -22,17 +22,21 @@
 // Merge takes entries heard from another daemon and spreads those that are
 // news.
 func (n *Node) Merge(entries []*sycapb.MemberEntry) {
-	changed := false
+	if n.mergeAll(entries) && n.cfg.Changed != nil {
+		n.cfg.Changed()
+	}
+}
+
+func (n *Node) mergeAll(entries []*sycapb.MemberEntry) bool {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	changed := false
 	for _, e := range entries {
 		if n.merge(e) {
 			changed = true
 		}
 	}
-	n.mu.Unlock()
-	if changed && n.cfg.Changed != nil {
-		n.cfg.Changed()
-	}
+	return changed
 }
 
 // merge takes one entry and reports whether it was news; n.mu is held.
--- a/member/probe.go
+++ b/member/probe.go
@@ -162,10 +162,11 @@
 		return
 	}
 	n.relays.Go(func() error {
-		if n.ping(ctx, p.To, target, ackWait) {
-			n.send(from, &sycapb.Packet{Kind: sycapb.Packet_KIND_ACK, Seq: p.Seq})
-		}
-		return nil
+		return n.cfg.Guard.Call("relay", func() {
+			if n.ping(ctx, p.To, target, ackWait) {
+				n.send(from, &sycapb.Packet{Kind: sycapb.Packet_KIND_ACK, Seq: p.Seq})
+			}
+		})
 	})
 }
 
--- a/member/sync.go
+++ b/member/sync.go
@@ -41,8 +41,10 @@
 	results := make(chan bool, len(addrs))
 	for _, a := range addrs {
 		n.relays.Go(func() error {
-			results <- n.Sync(ctx, a) == nil
-			return nil
+			ok := false
+			err := n.cfg.Guard.Call("join", func() { ok = n.Sync(ctx, a) == nil })
+			results <- ok
+			return err
 		})
 	}
 	for range addrs {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/action"
+	"sycamorespread.dev/guard"
 	"sycamorespread.dev/peer"
 	"sycamorespread.dev/sycapb"
 )
@@ -106,3 +109,40 @@
 		t.Errorf("a call to nobody ended with %v", err)
 	}
 }
+
+// A call over which the code panics fails alone: the process lives and the
+// next call is answered.
+func TestOneCallDoesNotEndTheProcess(t *testing.T) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, stop := context.WithCancel(context.Background())
+	var g errgroup.Group
+	s := &peer.Server{
+		OnPull: func(r *sycapb.PullRequest) *sycapb.PullReply {
+			if r.Have == 1 {
+				panic("bad request")
+			}
+			return &sycapb.PullReply{Revision: 9}
+		},
+		Guard: guard.New(logrus.NewEntry(log), nil),
+	}
+	g.Go(func() error { return s.Serve(ctx, l) })
+	defer func() {
+		stop()
+		_ = g.Wait()
+	}()
+	c := peer.New(peer.Config{Idle: 4, IdleFor: time.Minute})
+	defer func() { _ = c.Close() }()
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	if _, err := c.Pull(ctx, addr, &sycapb.PullRequest{Have: 1}); err == nil {
+		t.Error("no error of the call that panics")
+	}
+	r, err := c.Pull(ctx, addr, &sycapb.PullRequest{Have: 2})
+	if err != nil || r.Revision != 9 {
+		t.Errorf("next call: %v, %v", r, err)
+	}
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"sycamorespread.dev/guard"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -18,31 +19,39 @@
 	OnSync       func(*sycapb.SyncRequest) *sycapb.SyncReply
 	OnPull       func(*sycapb.PullRequest) *sycapb.PullReply
 	OnLocalBurn  func(*sycapb.BurnRequest) *sycapb.BurnReply
+	// Guard turns a panic over a call into an error of that call; nil for none.
+	Guard *guard.Guard
+}
+
+// answer runs one call.
+func answer[R any](s *Server, task string, f func() R) (reply R, err error) {
+	err = s.Guard.Call(task, func() { reply = f() })
+	return reply, err
 }
 
 // Forward implements the schema's Peer service.
 func (s *Server) Forward(ctx context.Context, c *sycapb.Call) (*sycapb.Reply, error) {
-	return s.OnForward(ctx, c), nil
+	return answer(s, "forward", func() *sycapb.Reply { return s.OnForward(ctx, c) })
 }
 
 // HomeTicket implements the schema's Peer service.
 func (s *Server) HomeTicket(_ context.Context, r *sycapb.TicketRequest) (*sycapb.TicketReply, error) {
-	return s.OnHomeTicket(r), nil
+	return answer(s, "ticket", func() *sycapb.TicketReply { return s.OnHomeTicket(r) })
 }
 
 // Sync implements the schema's Peer service.
 func (s *Server) Sync(_ context.Context, r *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
-	return s.OnSync(r), nil
+	return answer(s, "sync", func() *sycapb.SyncReply { return s.OnSync(r) })
 }
 
 // Pull implements the schema's Peer service.
 func (s *Server) Pull(_ context.Context, r *sycapb.PullRequest) (*sycapb.PullReply, error) {
-	return s.OnPull(r), nil
+	return answer(s, "pull", func() *sycapb.PullReply { return s.OnPull(r) })
 }
 
 // LocalBurn implements the schema's Peer service.
 func (s *Server) LocalBurn(_ context.Context, r *sycapb.BurnRequest) (*sycapb.BurnReply, error) {
-	return s.OnLocalBurn(r), nil
+	return answer(s, "burn", func() *sycapb.BurnReply { return s.OnLocalBurn(r) })
 }
 
 // Serve answers on l until ctx ends, then cuts what is still open.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -87,6 +87,11 @@
 	s.count("egress.retry_denied")
 }
 
+// Panic records a panic that ended a task.
+func (s *Set) Panic(task string) {
+	s.count("panic." + task)
+}
+
 // OldHead records that the platform showed an older policy head.
 func (s *Set) OldHead() {
 	s.count("policy.old_head")
