seed: a start costs few calls to the store

Ruled out: renewals, at a tenth and three a zone.

Now the seed package looks for members first, reads a stale list (a tenth) unless the whole system starts, and writes a seed only where none is found or the place among the members is known. One watcher a zone in place of two, three in all at least, and a watcher that is none any more ends its watch. The policy is pulled from the first member.

--- a/config/config.go
+++ b/config/config.go
@@ -41,6 +41,8 @@
 	Peers []netip.AddrPort
 	// LogLevel is the least important level that is logged.
 	LogLevel logrus.Level
+	// First tells that the whole system starts for the first time, so that there is nobody to join yet.
+	First bool
 	// Probe is the time between two membership probes.
 	Probe time.Duration
 
@@ -153,6 +155,7 @@
 	c.HTTP = r.addr("daemon", "http", required)
 	c.Peers = r.addrs("daemon", "peers")
 	c.LogLevel = r.level("daemon", "log_level", logrus.InfoLevel)
+	c.First = r.flag("daemon", "first")
 	c.Probe = r.duration("daemon", "probe", time.Second, 100*time.Millisecond, 10*time.Second)
 	c.LeaveWait = r.duration("daemon", "leave_wait", 3*time.Second, 0, time.Minute)
 	c.Platform = r.addr("platform", "addr", optional)
@@ -279,6 +282,19 @@
 	return l
 }
 
+// flag reads yes or no; a missing or empty value is no.
+func (r *reader) flag(section, key string) bool {
+	v := r.text(section, key, optional)
+	if v == "" {
+		return false
+	}
+	b, err := strconv.ParseBool(v)
+	if err != nil {
+		r.fail(section, key, "%q is not true or false", v)
+	}
+	return b
+}
+
 func (r *reader) duration(section, key string, or, least, most time.Duration) time.Duration {
 	v := r.text(section, key, optional)
 	if v == "" {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -213,8 +213,11 @@
 	} else {
 		g.Go(func() error { return d.guard.Loop(inner, "health", d.healthLoop) })
 	}
-	g.Go(func() error { return d.guard.Loop(inner, "join", d.joinLoop) })
-	g.Go(func() error { return d.guard.Loop(inner, "seed", d.seedLoop) })
+	finder := d.finder()
+	g.Go(func() error { return d.guard.Loop(inner, "join", finder.Join) })
+	if d.platform != nil {
+		g.Go(func() error { return d.guard.Loop(inner, "seed", finder.Keep) })
+	}
 	g.Go(func() error { return d.guard.Loop(inner, "watch", d.watchLoop) })
 	g.Go(func() error { return d.guard.Loop(inner, "pull", d.pullLoop) })
 	g.Go(func() error {
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -63,7 +63,7 @@
 			defer s.mu.Unlock()
 			return s.items[key], nil
 		},
-		Range: func(_ context.Context, prefix, _ string) (store.Page, error) {
+		Range: func(_ context.Context, prefix, _ string, _ bool) (store.Page, error) {
 			if err := s.enter(); err != nil {
 				return store.Page{}, err
 			}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/member"
 	"sycamorespread.dev/route"
+	"sycamorespread.dev/seed"
 	"sycamorespread.dev/server"
 	"sycamorespread.dev/sycapb"
 )
@@ -20,22 +23,8 @@
 const (
 	// seedsPerZone is the number of daemons of a zone that are listed in the platform.
 	seedsPerZone = 3
-	// watchersPerZone is the number of daemons of a zone that watch the policy head.
-	watchersPerZone = 2
-	// seedTTL is the lease of a seed record.
-	seedTTL = 30 * time.Second
-	// seedEvery is the time between two renewals.
-	seedEvery = 10 * time.Second
-	// seedWait bounds the reading of the seeds, so that a platform that is away does not hold up a daemon that starts.
-	seedWait = 300 * time.Millisecond
-	// seedRetry is the pause after a renewal that failed.
-	seedRetry = time.Second
-	// joinEvery is the time between two tries to find a first member.
-	joinEvery = 200 * time.Millisecond
-	// lonelyEvery is that time once joinGrace is over.
-	lonelyEvery = time.Second
-	// joinGrace is how long a daemon that reaches nobody waits before it takes work.
-	joinGrace = 1500 * time.Millisecond
+	// watchersLeast is the number of daemons that watch the policy head in the fleet at least; each zone has one.
+	watchersLeast = 3
 	// maxSeeds bounds the seeds asked in one try.
 	maxSeeds = 32
 	// maxContacts bounds the members asked in one try, beside the seeds.
@@ -161,29 +150,6 @@
 	return list
 }
 
-// joinLoop exchanges entries with a first member, and again when all are
-// gone. The daemon takes no work until then, since it could not pass on the
-// deeper calls; without anyone to ask it takes work after joinGrace.
-func (d *Daemon) joinLoop(ctx context.Context) error {
-	start := time.Now()
-	joined := false
-	for {
-		if !joined || d.node.Len() == 0 {
-			joined = d.node.Join(ctx, d.firstContacts(ctx))
-		}
-		if joined || time.Since(start) > joinGrace {
-			d.setJoined()
-		}
-		pause := joinEvery
-		if time.Since(start) > joinGrace {
-			pause = lonelyEvery
-		}
-		if !sleep(ctx, pause) {
-			return nil
-		}
-	}
-}
-
 // setJoined announces this daemon as ready for work, once.
 func (d *Daemon) setJoined() {
 	if d.joined.Swap(true) {
@@ -192,37 +158,68 @@
 	d.table.Update(d.targets())
 	d.node.Update(func(e *sycapb.MemberEntry) { e.Down = d.down.Load() })
 	d.routesChanged()
+	if known := d.knownAddrs(); d.holder.Policy() == nil && len(known) > 0 {
+		// A member that has a policy gives it; the platform need not be asked.
+		d.behind(known[rand.IntN(len(known))], 1)
+	}
 }
 
-func (d *Daemon) firstContacts(ctx context.Context) []netip.AddrPort {
+// finder returns what finds the first members and keeps the own seed.
+func (d *Daemon) finder() *seed.Finder {
+	return seed.New(seed.Config{
+		First:   d.cfg.First,
+		PerZone: seedsPerZone,
+		Rank:    d.rank,
+		Members: d.node.Len,
+		Known:   d.knownAddrs,
+		List:    d.listSeeds,
+		Keep:    d.keepSeed,
+		Join:    d.node.Join,
+		Joined:  d.setJoined,
+		Leaving: d.leaving.Load,
+		Sleep:   sleep,
+		Spread:  func(most time.Duration) time.Duration { return rand.N(most) },
+		Now:     time.Now,
+		Log:     d.log,
+	})
+}
+
+// knownAddrs returns whom to ask for members without the platform.
+func (d *Daemon) knownAddrs() []netip.AddrPort {
 	list := append(slices.Clone(d.cfg.Peers), d.node.Strangers()...)
 	for _, r := range d.node.Rows() {
 		if r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD && len(list) < maxContacts {
 			list = append(list, r.Addr)
 		}
 	}
+	return list
+}
+
+// listSeeds returns the addresses of the seeds of others, in random order and
+// at most maxSeeds.
+func (d *Daemon) listSeeds(ctx context.Context, stale bool) ([]netip.AddrPort, error) {
 	if d.platform == nil {
-		return list
+		return nil, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, seedWait)
-	defer cancel()
-	items, err := d.platform.List(ctx, seedPrefix+d.cfg.Region+"/")
+	items, err := d.platform.List(ctx, seedPrefix+d.cfg.Region+"/", stale)
 	if err != nil {
-		d.log.WithField("err", err).Info("seeds not read")
-		return list
+		return nil, err
 	}
-	// In a large fleet that starts all at once every daemon has written a seed.
-	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
-	for _, item := range items[:min(len(items), maxSeeds)] {
+	var list []netip.AddrPort
+	for _, item := range items {
 		e := new(sycapb.MemberEntry)
-		if proto.Unmarshal(item.Value, e) != nil || e.Id == d.cfg.ID {
+		err := proto.Unmarshal(item.Value, e)
+		addr, addrErr := netip.ParseAddrPort(e.Addr)
+		if err != nil || addrErr != nil {
+			d.log.WithFields(logrus.Fields{"key": item.Key, "err": err, "addr": e.Addr}).Warn("seed cannot be read")
 			continue
 		}
-		if a, err := netip.ParseAddrPort(e.Addr); err == nil {
-			list = append(list, a)
+		if e.Id != d.cfg.ID {
+			list = append(list, addr)
 		}
 	}
-	return list
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxSeeds)], nil
 }
 
 // rank returns this daemon's place among the live ones of its zone, by ID.
@@ -233,29 +230,6 @@
 	})
 }
 
-// seedLoop keeps a seed record in the platform while this daemon is among the
-// first of its zone.
-func (d *Daemon) seedLoop(ctx context.Context) error {
-	if d.platform == nil {
-		return nil
-	}
-	var lease uint64
-	for wait := time.Duration(0); sleep(ctx, wait); {
-		wait = seedEvery
-		if d.rank() >= seedsPerZone || d.leaving.Load() {
-			lease = 0
-			continue
-		}
-		next, err := d.keepSeed(ctx, lease)
-		if err != nil {
-			d.log.WithField("err", err).Warn("seed not kept")
-			wait = seedRetry
-		}
-		lease = next
-	}
-	return nil
-}
-
 // keepSeed renews the seed record, or writes it anew when its lease is gone.
 func (d *Daemon) keepSeed(ctx context.Context, lease uint64) (uint64, error) {
 	if lease != 0 {
@@ -264,7 +238,7 @@
 			return lease, err
 		}
 	}
-	lease, err := d.platform.Grant(ctx, seedTTL)
+	lease, err := d.platform.Grant(ctx, seed.TTL)
 	if err != nil {
 		return 0, err
 	}
@@ -273,12 +247,43 @@
 	if err != nil {
 		return 0, err
 	}
-	old, err := d.platform.Get(ctx, key)
+	put, err := d.platform.Put(ctx, key, b, 0, lease)
+	if err == nil && !put.Swapped && put.Item.Revision != 0 {
+		// The seed of this daemon's last start is still there.
+		put, err = d.platform.Put(ctx, key, b, put.Item.Revision, lease)
+	}
 	if err != nil {
 		return 0, err
 	}
-	_, err = d.platform.Put(ctx, key, b, old.Revision, lease)
-	return lease, err
+	if !put.Swapped {
+		return 0, &seedError{key: key, noLease: put.NoLease}
+	}
+	return lease, nil
+}
+
+// seedError reports a seed that another writer or the end of its lease kept
+// from being written.
+type seedError struct {
+	key     string
+	noLease bool
+}
+
+func (e *seedError) Error() string {
+	return fmt.Sprintf("seed %s not written, lease gone: %t", e.key, e.noLease)
+}
+
+// watches reports whether this daemon is among those that watch the policy
+// head: the first of its zone, and the next ones where there are few zones.
+func (d *Daemon) watches() bool {
+	zones := map[string]bool{d.cfg.Zone: true}
+	d.node.Count(func(e *sycapb.MemberEntry) bool {
+		if e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !e.Leaving && e.Region == d.cfg.Region {
+			zones[e.Zone] = true
+		}
+		return false
+	})
+	perZone := (watchersLeast + len(zones) - 1) / len(zones)
+	return d.rank() < perZone
 }
 
 func isDial(err error) bool {
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -16,6 +16,12 @@
 const (
 	// watchPause is the pause before a broken watch is opened again.
 	watchPause = 300 * time.Millisecond
+	// policyWait is how long a daemon that starts waits for a member that gives it the policy before it reads it
+	// from the platform; policyWaitFirst when the whole system starts, which has no callers yet.
+	policyWait      = 150 * time.Millisecond
+	policyWaitFirst = 1500 * time.Millisecond
+	// policyLook is the time between two looks at whether there is a policy.
+	policyLook = 50 * time.Millisecond
 	// pullWait bounds one pull from a peer.
 	pullWait = time.Second
 )
@@ -108,36 +114,40 @@
 	return &sycapb.PullReply{Revision: p.Revision, ChangeId: p.ChangeID, Text: p.Text}
 }
 
-// watchLoop watches the policy head while this daemon is among the first of
-// its zone, and reads it once when it knows no policy yet.
+// watchLoop watches the policy head while this daemon is among the watchers of
+// its zone, and reads it when no member gave a policy within policyWait.
 func (d *Daemon) watchLoop(ctx context.Context) error {
 	if d.platform == nil {
 		return nil
 	}
+	start := time.Now()
+	wait := policyWait
+	if d.cfg.First {
+		wait = policyWaitFirst
+	}
+	for !d.joined.Load() && time.Since(start) < wait && sleep(ctx, policyLook) {
+	}
 	for {
-		if d.rank() < watchersPerZone {
+		if d.joined.Load() && d.watches() {
 			err := d.watchHead(ctx)
 			d.log.WithField("err", err).Info("watch ended")
-		} else if d.holder.Policy() == nil {
+		} else if d.holder.Policy() == nil && time.Since(start) >= wait {
 			d.readHead(ctx)
 		}
-		if !sleep(ctx, watchPause) {
+		pause := watchPause
+		if d.holder.Policy() == nil {
+			pause = policyLook
+		}
+		if !sleep(ctx, pause) {
 			return nil
 		}
 	}
 }
 
-// watchHead follows the head until the watch breaks or another daemon of the
-// zone takes over.
+// watchHead follows the head until the watch breaks or this daemon is none of
+// the watchers any more.
 func (d *Daemon) watchHead(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	return d.platform.Watch(ctx, d.policyKey(), func(item store.Item) {
-		d.follow(ctx, item)
-		if d.rank() >= watchersPerZone {
-			cancel()
-		}
-	})
+	return d.platform.Watch(ctx, d.policyKey(), d.watches, func(item store.Item) { d.follow(ctx, item) })
 }
 
 func (d *Daemon) readHead(ctx context.Context) {
--- a/member/panic_test.go
+++ b/member/panic_test.go
@@ -28,8 +28,10 @@
 		Now:      time.Now,
 		Revision: func() uint64 { return 0 },
 		Poison:   func(*sycapb.PoisonEntry) { panic("entry of a kind that is not known") },
-		Exchange: func(context.Context, netip.AddrPort, *sycapb.SyncRequest) (*sycapb.SyncReply, error) { return nil, errClosed },
-		Guard:    guard.New(logrus.NewEntry(silent()), func(task string) { panics <- task }),
+		Exchange: func(context.Context, netip.AddrPort, *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
+			return nil, errClosed
+		},
+		Guard: guard.New(logrus.NewEntry(silent()), func(task string) { panics <- task }),
 	}, member.Conn{
 		Read: func(b []byte) (int, netip.AddrPort, error) {
 			select {
--- a/stand/store.go
+++ b/stand/store.go
@@ -176,7 +176,7 @@
 	return store.Written{Swapped: true, Item: next}, nil
 }
 
-func (s *keyValues) page(ctx context.Context, prefix, after string) (store.Page, error) {
+func (s *keyValues) page(ctx context.Context, prefix, after string, _ bool) (store.Page, error) {
 	if err := s.enter(ctx); err != nil {
 		return store.Page{}, err
 	}
--- a/store/item.go
+++ b/store/item.go
@@ -57,8 +57,8 @@
 type Transport struct {
 	// Get reads a key; an item with revision 0 when there is none.
 	Get func(ctx context.Context, key string) (Item, error)
-	// Range reads the page of the keys with the prefix that follows the key after.
-	Range func(ctx context.Context, prefix, after string) (Page, error)
+	// Range reads the page of the keys with the prefix that follows the key after. A stale page may be seconds old.
+	Range func(ctx context.Context, prefix, after string, stale bool) (Page, error)
 	// Watch waits for changes after the revision to keys with the prefix and
 	// returns the revision to go on from. A *GoneError means that the history is lost.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
--- a/store/store.go
+++ b/store/store.go
@@ -149,13 +149,14 @@
 	return write(ctx, c, "put", key, func(ctx context.Context) (Written, error) { return c.t.Write(ctx, change) })
 }
 
-// List reads all keys with a prefix, page by page; the pages are no snapshot.
-func (c *Client) List(ctx context.Context, prefix string) ([]Item, error) {
+// List reads all keys with a prefix, page by page; the pages are no snapshot. A
+// stale list may be seconds old and costs the platform a tenth.
+func (c *Client) List(ctx context.Context, prefix string, stale bool) ([]Item, error) {
 	var list []Item
 	after := ""
 	for range maxPages {
 		page, err := read(ctx, c, "list", prefix, func(ctx context.Context) (Page, error) {
-			return c.t.Range(ctx, prefix, after)
+			return c.t.Range(ctx, prefix, after, stale)
 		})
 		if err != nil {
 			return nil, err
@@ -170,20 +171,20 @@
 }
 
 // Watch calls changed with the item at once and at every change that it
-// learns of, until ctx ends or a call fails. Changes in quick succession may
-// be reported as one.
-func (c *Client) Watch(ctx context.Context, key string, changed func(Item)) error {
+// learns of, until ctx ends, a call fails, or more reports false, which is asked
+// before each call. Changes in quick succession may be reported as one.
+func (c *Client) Watch(ctx context.Context, key string, more func() bool, changed func(Item)) error {
 	item, err := c.Get(ctx, key)
 	if err != nil {
 		return err
 	}
 	changed(item)
 	after := item.Revision
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && more() {
 		events, next, err := c.await(ctx, key, after)
 		var gone *GoneError
 		if errors.As(err, &gone) {
-			return c.Watch(ctx, key, changed)
+			return c.Watch(ctx, key, more, changed)
 		}
 		if err != nil {
 			return err
