member, daemon, route: an idle daemon wakes up half as often, a changed member costs less

Each change of a member copied all of them and hashed each candidate anew for each comparison of a sort.

Now gate and silent peers share a ticker, gossip sleeps without news, the log is written each 200 ms, a daemon looks once a second whether it has become a watcher; members are read in place, and a candidate keeps its hash.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -287,15 +287,24 @@
 	return func() { d.inflight.Add(-1) }
 }
 
+// tickLoop does what is due in short intervals in one loop: each wake-up costs
+// an idle daemon more than the work.
 func (d *Daemon) tickLoop(ctx context.Context) error {
-	t := time.NewTicker(admit.TickEvery)
+	const every = min(admit.TickEvery, front.ContactEvery)
+	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			if d.front != nil {
+				return d.front.WaitPeers()
+			}
 			return nil
 		case <-t.C:
-			d.gate.Tick()
+		}
+		d.gate.Tick()
+		if d.front != nil {
+			d.front.LookAtPeers(ctx)
 		}
 	}
 }
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -171,7 +171,6 @@
 	for _, s := range d.fronts {
 		g.Go(func() error { return serveWeb(s.Server, s.l) })
 	}
-	g.Go(func() error { return d.guard.Loop(ctx, "contact", d.front.WatchPeers) })
 	g.Go(func() error { return d.guard.Loop(ctx, "ask", d.probeServer) })
 	g.Go(func() error {
 		for sleep(ctx, sweepEvery) {
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -143,9 +143,7 @@
 			DirectOnly:  e.Leaving || e.Down || e.State != sycapb.MemberState_MEMBER_STATE_ALIVE,
 		})
 	}
-	for _, r := range d.node.Rows() {
-		add(r.Entry, r.Addr)
-	}
+	d.node.Visit(add)
 	add(d.node.Self(), d.cfg.Addr)
 	return list
 }
@@ -187,11 +185,11 @@
 // knownAddrs returns whom to ask for members without the platform.
 func (d *Daemon) knownAddrs() []netip.AddrPort {
 	list := append(slices.Clone(d.cfg.Peers), d.node.Strangers()...)
-	for _, r := range d.node.Rows() {
-		if r.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD && len(list) < maxContacts {
-			list = append(list, r.Addr)
+	d.node.Visit(func(e *sycapb.MemberEntry, addr netip.AddrPort) {
+		if e.State < sycapb.MemberState_MEMBER_STATE_DEAD && len(list) < maxContacts {
+			list = append(list, addr)
 		}
-	}
+	})
 	return list
 }
 
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -22,6 +22,8 @@
 	policyWaitFirst = 1500 * time.Millisecond
 	// policyLook is the time between two looks at whether there is a policy.
 	policyLook = 50 * time.Millisecond
+	// rankEvery is the time between two looks at whether this daemon has become a watcher.
+	rankEvery = time.Second
 	// pullWait bounds one pull from a peer.
 	pullWait = time.Second
 )
@@ -134,9 +136,12 @@
 		} else if d.holder.Policy() == nil && time.Since(start) >= wait {
 			d.readHead(ctx)
 		}
-		pause := watchPause
-		if d.holder.Policy() == nil {
+		pause := rankEvery
+		switch {
+		case d.holder.Policy() == nil:
 			pause = policyLook
+		case d.watches():
+			pause = watchPause
 		}
 		if !sleep(ctx, pause) {
 			return nil
--- a/front/contact.go
+++ b/front/contact.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -14,8 +13,8 @@
 	silentAfter = 150 * time.Millisecond
 	// doubtAfter is how long a request waited that was given up without a word of the peer, for the peer to be probed.
 	doubtAfter = 80 * time.Millisecond
-	// contactEvery is the time between two looks for silent peers.
-	contactEvery = 50 * time.Millisecond
+	// ContactEvery is the time between two looks for silent peers.
+	ContactEvery = 50 * time.Millisecond
 	// returnEvery is the time between two probes of a silent peer.
 	returnEvery = 250 * time.Millisecond
 )
@@ -173,28 +172,38 @@
 	}
 }
 
-// WatchPeers probes silent peers until ctx ends.
+// WatchPeers calls LookAtPeers until ctx ends.
 func (f *Front) WatchPeers(ctx context.Context) error {
-	t := time.NewTicker(contactEvery)
+	t := time.NewTicker(ContactEvery)
 	defer t.Stop()
-	var g errgroup.Group
 	for {
 		select {
 		case <-ctx.Done():
-			return g.Wait()
+			return f.WaitPeers()
 		case <-t.C:
+			f.LookAtPeers(ctx)
 		}
-		for _, id := range f.contacts.due(f.Now()) {
-			// A probe that panics has told nothing of its peer.
-			g.Go(func() error {
-				_ = f.Guard.Call("contact", func() { f.probe(ctx, id) })
-				return nil
-			})
-		}
-		f.contacts.forget(f.Table.Known)
 	}
 }
 
+// LookAtPeers probes the peers that have become silent. It must be called each
+// ContactEvery; WaitPeers waits for the probes after the last call.
+func (f *Front) LookAtPeers(ctx context.Context) {
+	for _, id := range f.contacts.due(f.Now()) {
+		// A probe that panics has told nothing of its peer.
+		f.probes.Go(func() error {
+			_ = f.Guard.Call("contact", func() { f.probe(ctx, id) })
+			return nil
+		})
+	}
+	f.contacts.forget(f.Table.Known)
+}
+
+// WaitPeers waits for the probes of silent peers.
+func (f *Front) WaitPeers() error {
+	return f.probes.Wait()
+}
+
 func (f *Front) probe(ctx context.Context, id string) {
 	began := f.Now()
 	reached := f.Reach(ctx, id)
--- a/front/front.go
+++ b/front/front.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
@@ -109,6 +110,8 @@
 	contacts *contacts
 	latency  *latency
 	told     told
+	// probes holds the probes of silent peers.
+	probes errgroup.Group
 }
 
 // New returns a Front.
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -23,7 +23,7 @@
 )
 
 // flushEvery is the time between two writes to the output.
-const flushEvery = 100 * time.Millisecond
+const flushEvery = 200 * time.Millisecond
 
 // Limits bounds the lines.
 type Limits struct {
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -29,6 +29,16 @@
 // news holds the changed entries by ID.
 type news struct {
 	items map[string]*item
+	// some is written to when there is news, for the loop that sends it.
+	some chan struct{}
+}
+
+// notify wakes the loop that sends news.
+func (w *news) notify() {
+	select {
+	case w.some <- struct{}{}:
+	default:
+	}
 }
 
 // item counts how often a changed entry was sent and is still to be sent.
@@ -40,6 +50,7 @@
 
 func (w *news) add(id string, n int) {
 	w.items[id] = &item{left: n, salt: rand.Uint64()}
+	w.notify()
 }
 
 func (w *news) sent(id string) {
@@ -58,28 +69,43 @@
 	})
 }
 
+// gossipLoop sends news in packets gossipEvery apart, and sleeps while there is
+// none.
 func (n *Node) gossipLoop(ctx context.Context) error {
-	t := time.NewTicker(gossipEvery)
+	t := time.NewTimer(gossipEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
-			n.spread()
+		case <-n.news.some:
+		}
+		for n.hasNews() {
+			t.Reset(gossipEvery)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-t.C:
+				n.spread()
+			}
 		}
 	}
 }
 
+// hasNews reports whether there is anything to send.
+func (n *Node) hasNews() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.news.items) > 0 || n.announce > 0 || len(n.poisons) > 0
+}
+
 // spread sends the news, if there is any, to a few random members. News above
 // newsRate waits for later ticks once newsBurst is used up.
 func (n *Node) spread() {
-	n.mu.Lock()
-	n.forget()
-	if len(n.news.items) == 0 && n.announce <= 0 && len(n.poisons) == 0 {
-		n.mu.Unlock()
+	if !n.hasNews() {
 		return
 	}
+	n.mu.Lock()
 	to := n.pickLive(gossipFan, "")
 	n.mu.Unlock()
 	for _, addr := range to {
--- a/member/member.go
+++ b/member/member.go
@@ -134,7 +134,7 @@
 		rows:    map[string]*Row{},
 		poisons: map[uint64]*poisonNews{},
 		acks:    map[uint64]chan struct{}{},
-		news:    news{items: map[string]*item{}},
+		news:    news{items: map[string]*item{}, some: make(chan struct{}, 1)},
 		limit:   rate.NewLimiter(newsRate, newsBurst),
 	}
 	n.news.add(n.self.Id, sends(1))
@@ -176,6 +176,16 @@
 	return rows
 }
 
+// Visit calls f for each other member, also dead ones. It copies nothing; f must
+// not keep or change the entry, nor call the Node.
+func (n *Node) Visit(f func(e *sycapb.MemberEntry, addr netip.AddrPort)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.rows {
+		f(r.Entry, r.Addr)
+	}
+}
+
 // Count returns how many other members, also dead ones, f holds for. It copies
 // nothing; f must not keep or change the entry.
 func (n *Node) Count(f func(*sycapb.MemberEntry) bool) int {
@@ -218,6 +228,7 @@
 func (n *Node) AnnounceRevision() {
 	n.mu.Lock()
 	n.announce = sends(len(n.rows))
+	n.news.notify()
 	n.mu.Unlock()
 	n.spread()
 }
@@ -226,6 +237,7 @@
 func (n *Node) AnnouncePoison(e *sycapb.PoisonEntry) {
 	n.mu.Lock()
 	n.poisons[e.Fingerprint] = &poisonNews{entry: e, left: sends(len(n.rows))}
+	n.news.notify()
 	n.mu.Unlock()
 	n.spread()
 }
--- a/member/merge.go
+++ b/member/merge.go
@@ -109,6 +109,13 @@
 	return moved
 }
 
+// purge drops members that are gone for long.
+func (n *Node) purge() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forget()
+}
+
 // forget drops members that are gone for long; n.mu is held.
 func (n *Node) forget() {
 	now := n.cfg.Now()
--- a/member/probe.go
+++ b/member/probe.go
@@ -37,6 +37,7 @@
 		case <-t.C:
 		}
 		n.bury()
+		n.purge()
 		if round%deadProbeEvery == 0 {
 			n.probeDead()
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -110,7 +110,9 @@
 }
 
 type state struct {
-	target   Target
+	target Target
+	// place orders the candidates, differently at each daemon.
+	place    uint64
 	inflight int
 	load     float64
 	loadAt   time.Time
@@ -153,6 +155,9 @@
 			silent := ok && s.silent
 			s = &state{levels: map[string]note{}, runs: map[string]*record{}, silent: silent}
 		}
+		if s.place == 0 {
+			s.place = xxhash.Sum64String(t.Self + "/" + target.ID)
+		}
 		s.target = target
 		byID[target.ID] = s
 		if target.DirectOnly {
@@ -170,13 +175,7 @@
 // subset keeps at most zoneSubset candidates of each zone, chosen by hash so
 // that each daemon has its own and keeps it.
 func (t *Table) subset(list []*state) []*state {
-	weight := func(s *state) uint64 { return xxhash.Sum64String(t.Self + "/" + s.target.ID) }
-	slices.SortFunc(list, func(a, b *state) int {
-		if weight(a) < weight(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *state) int { return cmp.Compare(a.place, b.place) })
 	kept := make([]*state, 0, len(list))
 	perZone := map[string]int{}
 	for _, s := range list {
