--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,13 @@
-.PHONY: build test demo bench prove soak slopes generate lint fmt fmt-check
+.PHONY: build test demo bench prove soak slopes regress generate lint fmt fmt-check
 
 MODULES = . bench stand sycctl sycd sycload
 PROGRAMS = sycd sycctl sycload stand bench
 SEED ?= 1
 DURATION ?= 60s
+# The users' bench and the site files of the regression runs, the largest first.
+PLAYER ?=
+SITES ?=
+JOBS ?= 3
 # Tests named in KNOWN-RED.txt as "test=NAME", joined for -skip.
 RED = $(shell sed -n 's/^test=\([^ ]*\).*/^\1$$/p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -29,6 +33,10 @@
 slopes: build
 	@bin/bench slopes
 
+regress: build
+	@if [ -z "$(PLAYER)" ] || [ -z "$(SITES)" ]; then echo 'regress: not run, set PLAYER to the users'"'"' bench and SITES to site files'; exit 1; fi
+	@bin/bench regress --player $(PLAYER) --jobs $(JOBS) $(SITES)
+
 generate:
 	proto/generate.sh
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -6,6 +6,7 @@
 //	bench surge   the overload scene against two baselines
 //	bench prove   a long randomised mix of all faults
 //	bench soak    randomized faults on the users' platform
+//	bench regress standard days of the users beside their floors
 //	bench slopes  control cost by the number of daemons
 package main
 
@@ -40,7 +41,7 @@
 		}
 		return freePort()
 	}
-	root.AddCommand(demoCommand(&bin, &dir), surgeCommand(&bin, &dir), proveCommand(&bin, &dir), slopesCommand(&bin, &dir), soakCommand(&bin, &dir))
+	root.AddCommand(demoCommand(&bin, &dir), surgeCommand(&bin, &dir), proveCommand(&bin, &dir), slopesCommand(&bin, &dir), soakCommand(&bin, &dir), regressCommand())
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
--- /dev/null
+++ b/bench/regress.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"gopkg.in/ini.v1"
+
+	"sycamorespread.dev/platform"
+)
+
+// regressFlags are the settings of the regress command.
+type regressFlags struct {
+	player, floors, journal string
+	jobs                    int
+}
+
+func regressCommand() *cobra.Command {
+	f := &regressFlags{}
+	c := &cobra.Command{Use: "regress SITE...", Short: "Play the standard days of sites and compare their worth with its floors", Args: cobra.MinimumNArgs(1)}
+	c.Flags().StringVar(&f.player, "player", "", "program of the users' bench")
+	c.Flags().StringVar(&f.floors, "floors", "deploy/floors.ini", "least worth of each day, by site")
+	c.Flags().StringVar(&f.journal, "journal", "journal", "folder of the journal")
+	c.Flags().IntVar(&f.jobs, "jobs", 3, "days played at once")
+	c.RunE = func(c *cobra.Command, sites []string) error {
+		if f.player == "" {
+			return errors.New("--player is empty: name the program of the users' bench")
+		}
+		return f.run(c.Context(), sites)
+	}
+	return c
+}
+
+func (f *regressFlags) run(ctx context.Context, sites []string) error {
+	floors, err := ini.Load(f.floors)
+	if err != nil {
+		return errors.Wrap(err, "read the floors")
+	}
+	bad := 0
+	for _, site := range sites {
+		days, err := f.play(ctx, site)
+		if err != nil {
+			return errors.Wrapf(err, "play %s", site)
+		}
+		results, err := Compare(days, floors)
+		if err != nil {
+			return err
+		}
+		for _, r := range results {
+			fmt.Println(r)
+			if r.Rank < Held {
+				bad++
+			}
+		}
+	}
+	if bad > 0 {
+		return errors.Errorf("%d days fell", bad)
+	}
+	return nil
+}
+
+// play scores one site and reads its days from the journal.
+func (f *regressFlags) play(ctx context.Context, site string) ([]platform.Played, error) {
+	before, err := f.entries()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.CommandContext(ctx, f.player, "score", site, "--jobs", strconv.Itoa(f.jobs), "--why", "regression run")
+	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
+	if err := cmd.Run(); err != nil {
+		// A score that fails its gate may end so; its entry tells.
+		fmt.Fprintln(os.Stderr, "bench:", err)
+	}
+	after, err := f.entries()
+	if err != nil {
+		return nil, err
+	}
+	for _, file := range after {
+		if !slices.Contains(before, file) {
+			return platform.ReadPlayed(file)
+		}
+	}
+	return nil, errors.New("the journal has no new entry")
+}
+
+func (f *regressFlags) entries() ([]string, error) {
+	return filepath.Glob(filepath.Join(f.journal, "*.json"))
+}
+
+// Ranks of a result, the worst first.
+const (
+	Broke = iota
+	Failed
+	Fell
+	Held
+	Unknown
+)
+
+// Result is one day beside its floor.
+type Result struct {
+	platform.Played
+	// Floor is the least worth of the day, 0 when none is recorded.
+	Floor float64
+	Rank  int
+}
+
+// String returns a line of key=value pairs.
+func (r Result) String() string {
+	verdict := [...]string{"broken", "failed", "fell", "held", "no-floor"}[r.Rank]
+	return fmt.Sprintf("site=%s day=%s worth=%.3f floor=%.3f verdict=%s rules=%v fault=%q", r.Site, r.Day, r.Worth, r.Floor, verdict, r.Broken, r.Fault)
+}
+
+// Compare returns the days beside their floors, the worst first. Floors has a
+// section for each site and a key for each day.
+func Compare(days []platform.Played, floors *ini.File) ([]Result, error) {
+	results := make([]Result, 0, len(days))
+	for _, d := range days {
+		r := Result{Played: d, Rank: Unknown}
+		section, err := floors.GetSection(d.Site)
+		if err == nil && section.HasKey(d.Day) {
+			if r.Floor, err = section.Key(d.Day).Float64(); err != nil {
+				return nil, errors.Wrapf(err, "floor of %s, %s", d.Site, d.Day)
+			}
+			r.Rank = Held
+			if d.Worth < r.Floor {
+				r.Rank = Fell
+			}
+		}
+		switch {
+		case len(d.Broken) > 0:
+			r.Rank = Broke
+		case d.Fault != "" || !d.Passed:
+			r.Rank = Failed
+		}
+		results = append(results, r)
+	}
+	slices.SortStableFunc(results, func(a, b Result) int { return cmp.Compare(a.Rank, b.Rank) })
+	return results, nil
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -29,6 +29,12 @@
 	"sycamorespread.dev/sycapb"
 )
 
+const (
+	// maxHead bounds the head of an answer and maxReply its body, in bytes, as between a daemon and its backend server.
+	maxHead  = 64 << 10
+	maxReply = 4 << 20
+)
+
 const (
 	// dialTimeout bounds the time to connect to an entry.
 	dialTimeout = 500 * time.Millisecond
@@ -97,10 +103,12 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: connsPerEntry,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}}
 	c := &Client{cfg: cfg}
 	for _, e := range cfg.Entries {
-		c.rpcs = append(c.rpcs, sycapb.NewEntryClient(h, "http://"+e.String(), connect.WithAcceptCompression("gzip", nil, nil)))
+		c.rpcs = append(c.rpcs, sycapb.NewEntryClient(h, "http://"+e.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxReply)))
 	}
 	return c
 }
--- a/server/server.go
+++ b/server/server.go
@@ -57,6 +57,13 @@
 	return e.Err
 }
 
+const (
+	// maxHead bounds the head of an answer and maxReply its body, in bytes; a call between daemons carries at most
+	// the 4 MB of drpc.
+	maxHead  = 64 << 10
+	maxReply = 4 << 20
+)
+
 // Client calls one backend server. It is safe for concurrent use.
 type Client struct {
 	// Addr is where the backend server listens.
@@ -76,10 +83,13 @@
 		MaxConnsPerHost:     conns,
 		IdleConnTimeout:     idleFor,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}}
 	// Compression costs more than it saves beside the backend server.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	return &Client{Addr: addr, http: h, rpc: sycapb.NewBackendClient(h, "http://"+addr.String(), plain)}
+	rpc := sycapb.NewBackendClient(h, "http://"+addr.String(), plain, connect.WithReadMaxBytes(maxReply))
+	return &Client{Addr: addr, http: h, rpc: rpc}
 }
 
 // Close closes the idle connections.
