--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,6 +26,7 @@
 	"github.com/pkg/errors"
 
 	"sycamorespread.dev/action"
+	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -99,16 +100,16 @@
 
 // New returns a client for the entries of cfg.
 func New(cfg Config) *Client {
-	h := &http.Client{Transport: &http.Transport{
+	h := &http.Client{Transport: &httpc.Limit{Most: maxReply, Next: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: connsPerEntry,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHead,
-	}}
+	}}}
 	c := &Client{cfg: cfg}
 	for _, e := range cfg.Entries {
-		c.rpcs = append(c.rpcs, sycapb.NewEntryClient(h, "http://"+e.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxReply)))
+		c.rpcs = append(c.rpcs, sycapb.NewEntryClient(h, "http://"+e.String(), connect.WithAcceptCompression("gzip", nil, nil)))
 	}
 	return c
 }
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 
 	"connectrpc.com/connect"
 
+	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -76,7 +77,7 @@
 // New returns a client that keeps at most conns connections. A connection is
 // used by one call at a time; it is closed when its call is cancelled.
 func New(addr netip.AddrPort, conns int) *Client {
-	h := &http.Client{Transport: &http.Transport{
+	h := &http.Client{Transport: &httpc.Limit{Most: maxReply, Next: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConns:        conns,
 		MaxIdleConnsPerHost: conns,
@@ -85,10 +86,10 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHead,
-	}}
+	}}}
 	// Compression costs more than it saves beside the backend server.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	rpc := sycapb.NewBackendClient(h, "http://"+addr.String(), plain, connect.WithReadMaxBytes(maxReply))
+	rpc := sycapb.NewBackendClient(h, "http://"+addr.String(), plain)
 	return &Client{Addr: addr, http: h, rpc: rpc}
 }
 
