member: a policy revision does not wait for the news of members

The start of 300 daemons has used up the 256 KB of news that may be sent at once, and the announcement of a revision waited for the rate of 2.5 KB/s like any entry. Ruled out: the watchers (one a zone, as at 30) and pulls. Now a packet with the revision and poison entries alone goes out. The test fails on the code before.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -99,8 +99,10 @@
 	return len(n.news.items) > 0 || n.announce > 0 || len(n.poisons) > 0
 }
 
-// spread sends the news, if there is any, to a few random members. News above
-// newsRate waits for later ticks once newsBurst is used up.
+// spread sends the news, if there is any, to a few random members. News of
+// members above newsRate waits for later ticks once newsBurst is used up, as
+// after a start of the whole fleet; a policy revision and poison entries, which
+// are few and small, do not wait for it.
 func (n *Node) spread() {
 	if !n.hasNews() {
 		return
@@ -110,13 +112,24 @@
 	n.mu.Unlock()
 	for _, addr := range to {
 		now := n.cfg.Now()
-		if n.limit.TokensAt(now) <= 0 {
+		if n.limit.TokensAt(now) > 0 {
+			n.limit.ReserveN(now, n.send(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP}))
+			continue
+		}
+		if !n.isUrgent() {
 			return
 		}
-		n.limit.ReserveN(now, n.send(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP}))
+		n.sendWith(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP}, n.fillUrgent)
 	}
 }
 
+// isUrgent reports whether there is news that must not wait.
+func (n *Node) isUrgent() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.announce > 0 || len(n.poisons) > 0
+}
+
 // pickLive returns the addresses of up to k random members that are not dead,
 // other than the one named; n.mu is held.
 func (n *Node) pickLive(k int, except string) []netip.AddrPort {
@@ -133,8 +146,14 @@
 // send fills a packet with news up to maxPacket and sends it. It returns the
 // bytes sent.
 func (n *Node) send(to netip.AddrPort, p *sycapb.Packet) int {
+	return n.sendWith(to, p, n.fill)
+}
+
+// sendWith sends a packet that fill completes under the lock, and returns the
+// bytes sent.
+func (n *Node) sendWith(to netip.AddrPort, p *sycapb.Packet, fill func(*sycapb.Packet)) int {
 	n.mu.Lock()
-	n.fill(p)
+	fill(p)
 	b, err := proto.Marshal(p)
 	n.out += uint64(len(b))
 	n.mu.Unlock()
@@ -146,14 +165,25 @@
 	return len(b)
 }
 
-// fill adds the sender, the revision and news; n.mu is held.
-func (n *Node) fill(p *sycapb.Packet) {
+// fillUrgent adds the sender, the revision and poison entries; n.mu is held.
+func (n *Node) fillUrgent(p *sycapb.Packet) {
+	n.fillSender(p)
+	n.fillPoisons(p, proto.Size(p))
+}
+
+// fillSender adds the sender and the revision; n.mu is held.
+func (n *Node) fillSender(p *sycapb.Packet) {
 	p.From = n.self.Id
 	p.FromAddr = n.self.Addr
 	p.PolicyRevision = n.cfg.Revision()
 	if n.announce > 0 {
 		n.announce--
 	}
+}
+
+// fill adds the sender, the revision and news; n.mu is held.
+func (n *Node) fill(p *sycapb.Packet) {
+	n.fillSender(p)
 	size := proto.Size(p)
 	for _, id := range n.news.order() {
 		e := n.entry(id)
--- a/member/news_test.go
+++ b/member/news_test.go
@@ -86,3 +86,45 @@
 		t.Errorf("%d of %d entries were sent, %d sends came before their turn", seen, entries, unfair)
 	}
 }
+
+// The start of a large fleet uses up what may be sent of members at once. A new
+// policy revision must not wait for it: at 300 daemons it was in force after
+// 0.8 s in place of some milliseconds.
+func TestRevisionDoesNotWaitForTheNewsOfMembers(t *testing.T) {
+	const entries, updates = 600, 200
+	started := time.Unix(1000, 0)
+	revision := uint64(1)
+	var packets []*sycapb.Packet
+	n := member.New(member.Config{
+		Self:     &sycapb.MemberEntry{Id: "self", Incarnation: 1, Addr: "10.0.0.1:7"},
+		Now:      func() time.Time { return started },
+		Revision: func() uint64 { return revision },
+	}, member.Conn{Write: func(b []byte, _ netip.AddrPort) error {
+		p := new(sycapb.Packet)
+		packets = append(packets, p)
+		return proto.Unmarshal(b, p)
+	}})
+	var list []*sycapb.MemberEntry
+	for i := range entries {
+		list = append(list, &sycapb.MemberEntry{Id: fmt.Sprintf("service-%04d", i), Incarnation: 1, Zone: "zone-a", Service: "service", Addr: fmt.Sprintf("10.1.%d.%d:7", i/250, i%250+1)})
+	}
+	n.Merge(list)
+	for range updates {
+		n.Update(func(e *sycapb.MemberEntry) { e.Slots++ })
+	}
+	before := len(packets)
+	n.Update(func(e *sycapb.MemberEntry) { e.Slots++ })
+	if len(packets) != before {
+		t.Fatalf("%d packets of news were sent beyond the bound", len(packets)-before)
+	}
+	revision = 7
+	n.AnnounceRevision()
+	if len(packets) == before {
+		t.Error("the revision waits")
+	}
+	for _, p := range packets[before:] {
+		if p.PolicyRevision != 7 || len(p.Entries) > 0 {
+			t.Errorf("packet of revision %d with %d entries", p.PolicyRevision, len(p.Entries))
+		}
+	}
+}
