member: a daemon that joins exchanges all members once

Now one is asked first, more after 25 ms without an answer; the rest find equal digests, and only what the other lacks is told back.

Tried and taken back: not to gossip what an exchange told, and half of the sends of news.

--- a/member/sync.go
+++ b/member/sync.go
@@ -13,6 +13,10 @@
 	"sycamorespread.dev/sycapb"
 )
 
+// hedgeAfter is how long Join waits for answers before it asks more daemons beside: some times an exchange within a
+// region.
+const hedgeAfter = 25 * time.Millisecond
+
 func (n *Node) syncLoop(ctx context.Context) error {
 	for {
 		// Spread over time so that the fleet does not exchange in step.
@@ -34,25 +38,74 @@
 	}
 }
 
-// Join exchanges entries with the daemons at the given addresses, all at once,
-// and reports whether any of them answered. It returns at the first answer,
-// since some addresses may be of daemons that are gone.
+// Join exchanges entries with the daemons at the given addresses, and reports
+// whether any of them answered; it returns at the first answer. It asks one,
+// after hedgeAfter without an answer twice as many, and so on, since some
+// addresses may be of daemons that are gone. The others are asked all the same,
+// in case they do not know each other: once the first has told all members,
+// digests are all that is exchanged with the rest.
 func (n *Node) Join(ctx context.Context, addrs []netip.AddrPort) bool {
-	results := make(chan bool, len(addrs))
-	for _, a := range addrs {
-		n.relays.Go(func() error {
-			ok := false
-			err := n.cfg.Guard.Call("join", func() { ok = n.Sync(ctx, a) == nil })
-			results <- ok
-			return err
-		})
+	first := make(chan bool, 1)
+	n.relays.Go(func() error {
+		err := n.cfg.Guard.Call("join", func() { n.joinAll(ctx, addrs, first) })
+		if err != nil {
+			// A panic may have come before any answer.
+			tell(first, false)
+		}
+		return err
+	})
+	return <-first
+}
+
+func (n *Node) joinAll(ctx context.Context, addrs []netip.AddrPort, first chan<- bool) {
+	answers := make(chan bool, len(addrs))
+	pending, batch := 0, 1
+	for len(addrs) > 0 {
+		for _, a := range addrs[:min(batch, len(addrs))] {
+			n.joinOne(ctx, a, answers)
+			pending++
+		}
+		addrs = addrs[min(batch, len(addrs)):]
+		late := time.NewTimer(hedgeAfter)
+		for waiting := true; waiting && pending > 0; {
+			select {
+			case ok := <-answers:
+				pending--
+				if ok {
+					tell(first, true)
+					// The rest need not be asked at once any more.
+					batch = 0
+				}
+			case <-late.C:
+				waiting = false
+			}
+		}
+		late.Stop()
+		batch = max(1, 2*batch)
 	}
-	for range addrs {
-		if <-results {
-			return true
+	for range pending {
+		if <-answers {
+			tell(first, true)
 		}
 	}
-	return false
+	tell(first, false)
+}
+
+func (n *Node) joinOne(ctx context.Context, addr netip.AddrPort, answers chan<- bool) {
+	n.relays.Go(func() error {
+		ok := false
+		err := n.cfg.Guard.Call("join", func() { ok = n.Sync(ctx, addr) == nil })
+		answers <- ok
+		return err
+	})
+}
+
+// tell writes v unless something was written before.
+func tell(c chan<- bool, v bool) {
+	select {
+	case c <- v:
+	default:
+	}
 }
 
 // Sync exchanges entries with the daemon at addr: digests of each zone first,
@@ -62,14 +115,31 @@
 	if err != nil {
 		return err
 	}
+	mine := n.newerThan(n.zoneEntries(first.Differ), first.Entries)
 	n.Merge(first.Entries)
-	if len(first.Differ) == 0 {
+	if len(mine) == 0 {
 		return nil
 	}
-	_, err = n.cfg.Exchange(ctx, addr, &sycapb.SyncRequest{Entries: n.zoneEntries(first.Differ)})
+	_, err = n.cfg.Exchange(ctx, addr, &sycapb.SyncRequest{Entries: mine})
 	return err
 }
 
+// newerThan returns the entries that another daemon has not, or has in an older
+// version.
+func (n *Node) newerThan(mine, theirs []*sycapb.MemberEntry) []*sycapb.MemberEntry {
+	known := make(map[string]*sycapb.MemberEntry, len(theirs))
+	for _, e := range theirs {
+		known[e.GetId()] = e
+	}
+	var list []*sycapb.MemberEntry
+	for _, e := range mine {
+		if old, ok := known[e.Id]; !ok || Newer(e, old) > 0 {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // Answer serves a SyncRequest.
 func (n *Node) Answer(req *sycapb.SyncRequest) *sycapb.SyncReply {
 	n.Merge(req.Entries)
