--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -30,11 +30,14 @@
 	away     bool
 	items    map[string]store.Item
 	revision uint64
+	// refused counts the calls while the service was away.
+	refused int
 }
 
 func (s *shelf) enter() error {
 	s.mu.Lock()
 	if s.away {
+		s.refused++
 		s.mu.Unlock()
 		return &store.RefusedError{Status: http.StatusServiceUnavailable}
 	}
@@ -341,6 +344,23 @@
 	s.served(3*time.Second, one, "two")
 }
 
+// A store that refuses all calls at once must not be asked all the time by the
+// daemons that know no policy: reads of the policy and of the seeds, each a few
+// a second.
+func TestFewCallsToAStoreThatRefuses(t *testing.T) {
+	const daemons, span, perSecond = 2, 3 * time.Second, 12
+	s := newSite(t)
+	s.shelf.setAway(true)
+	s.add("one")
+	s.add("two")
+	time.Sleep(span)
+	s.shelf.mu.Lock()
+	defer s.shelf.mu.Unlock()
+	if most := daemons * int(span.Seconds()+1) * perSecond; s.shelf.refused > most {
+		t.Errorf("%d calls in %s, at most %d are wanted", s.shelf.refused, span, most)
+	}
+}
+
 func TestRestartedDaemonLearnsFromItsPeers(t *testing.T) {
 	s := newSite(t)
 	s.configure(7, "two")
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -138,9 +138,9 @@
 		}
 		pause := rankEvery
 		switch {
-		case d.holder.Policy() == nil:
+		case d.holder.Policy() == nil && time.Since(start) < wait:
 			pause = policyLook
-		case d.watches():
+		case d.holder.Policy() == nil || d.watches():
 			pause = watchPause
 		}
 		if !sleep(ctx, pause) {
