member: news goes to the own zone first

Bytes between zones at 300 daemons are mostly the news of the start: each entry is told 30 times by each daemon, four fifths of it to other zones. Of the three daemons told in a tick one is of another zone now.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -108,7 +108,7 @@
 		return
 	}
 	n.mu.Lock()
-	to := n.pickLive(gossipFan, "")
+	to := n.pickSpread()
 	n.mu.Unlock()
 	for _, addr := range to {
 		now := n.cfg.Now()
@@ -130,6 +130,31 @@
 	return n.announce > 0 || len(n.poisons) > 0
 }
 
+// pickSpread returns the addresses of gossipFan random live members to tell the
+// news: farFan of other zones and the rest of the own one, since bytes between
+// zones are dear; where one kind is short, more of the other. The members of a
+// zone together still tell each other zone often enough. n.mu is held.
+func (n *Node) pickSpread() []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, r := range n.rows {
+		switch {
+		case r.Entry.State >= sycapb.MemberState_MEMBER_STATE_DEAD:
+		case r.Entry.Zone == n.self.Zone:
+			near = append(near, r.Addr)
+		default:
+			far = append(far, r.Addr)
+		}
+	}
+	shuffle(near)
+	shuffle(far)
+	nears := min(len(near), max(gossipFan-farFan, gossipFan-len(far)))
+	return append(near[:nears], far[:min(len(far), gossipFan-nears)]...)
+}
+
+func shuffle(addrs []netip.AddrPort) {
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+}
+
 // pickLive returns the addresses of up to k random members that are not dead,
 // other than the one named; n.mu is held.
 func (n *Node) pickLive(k int, except string) []netip.AddrPort {
@@ -139,7 +164,7 @@
 			live = append(live, r.Addr)
 		}
 	}
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	shuffle(live)
 	return live[:min(k, len(live))]
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -38,6 +38,8 @@
 	gossipEvery = 100 * time.Millisecond
 	// gossipFan is the number of members that get the news in a tick.
 	gossipFan = 3
+	// farFan is how many of them are of other zones.
+	farFan = 1
 	// syncEvery is the time between two exchanges with a random member.
 	syncEvery = 15 * time.Second
 	// deadKeep is how long a dead member is remembered and probed.
