--- a/daemon/members.go
+++ b/daemon/members.go
@@ -254,20 +254,21 @@
 		return 0, err
 	}
 	if !put.Swapped {
-		return 0, &seedError{key: key, noLease: put.NoLease}
+		return 0, &SeedError{Key: key, NoLease: put.NoLease}
 	}
 	return lease, nil
 }
 
-// seedError reports a seed that another writer or the end of its lease kept
+// SeedError reports a seed that another writer or the end of its lease kept
 // from being written.
-type seedError struct {
-	key     string
-	noLease bool
+type SeedError struct {
+	Key string
+	// NoLease tells that the lease has ended.
+	NoLease bool
 }
 
-func (e *seedError) Error() string {
-	return fmt.Sprintf("seed %s not written, lease gone: %t", e.key, e.noLease)
+func (e *SeedError) Error() string {
+	return fmt.Sprintf("seed %s not written, lease gone: %t", e.Key, e.NoLease)
 }
 
 // watches reports whether this daemon is among those that watch the policy
