daemon: the policy is watched by two a zone again, and read by chance by the others

With two a zone a cut of the first three leaves others, as before; beside, the other daemons together read the policy once a second at random, so that no cut of those who watch can hide a version for long. Ruled out: the announcement (in force everywhere 10 ms after the first has it at 13.2 s).

--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -126,7 +126,6 @@
 type site struct {
 	t     *testing.T
 	shelf *shelf
-	store netip.AddrPort
 	g     errgroup.Group
 	nodes []*side
 	base  netip.Addr
@@ -144,12 +143,14 @@
 	stop                context.CancelFunc
 	done                chan error
 	out, ready, control string
+	// cut takes the instance from the store, and from nothing else.
+	cut   atomic.Bool
+	store netip.AddrPort
 }
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, shelf: &shelf{items: map[string]store.Item{}}}
 	s.base = netip.AddrFrom4([4]byte{127, byte(10 + fleets.Add(1)%200), 77, 0})
-	s.store = s.serve(netip.AddrPortFrom(s.base.Next(), 0), platform.StoreHandler(s.shelf.transport()))
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
 			n.stop()
@@ -202,6 +203,13 @@
 	n.ip = netip.AddrFrom4([4]byte{127, s.base.As4()[1], 77, byte(10 + len(s.nodes))})
 	n.app = s.serve(netip.AddrPortFrom(n.ip, 0), http.HandlerFunc(n.handle)).String()
 	n.out, n.ready, n.control = n.at(17404), n.at(17402), n.at(17406)
+	shelf := platform.StoreHandler(s.shelf.transport())
+	n.store = s.serve(netip.AddrPortFrom(n.ip, 0), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		shelf.ServeHTTP(w, r)
+	}))
 	s.nodes = append(s.nodes, n)
 	n.run()
 	return n
@@ -375,6 +383,28 @@
 	s.served(8*time.Second, three, "two")
 }
 
+// All daemons that watch the policy are cut from the store, but from no other
+// daemon. A new version still comes into force, by one of the others.
+func TestWatchersCutFromTheStore(t *testing.T) {
+	s := newSite(t)
+	s.configure(7, "two")
+	for range 3 {
+		s.add("one")
+	}
+	s.add("two")
+	five := s.add("two")
+	for _, n := range s.nodes {
+		s.await(5*time.Second, "ready", n.isReady)
+	}
+	s.served(5*time.Second, five, "two")
+	for _, n := range s.nodes[:3] {
+		n.cut.Store(true)
+	}
+	s.configure(9, "one")
+	s.served(30*time.Second, five, "one")
+	s.served(5*time.Second, s.nodes[0], "one")
+}
+
 func TestVersionsOnlyRise(t *testing.T) {
 	s := newSite(t)
 	s.configure(7, "two")
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -23,8 +23,13 @@
 const (
 	// seedsPerZone is the number of daemons of a zone that are listed in the platform.
 	seedsPerZone = 3
-	// watchersLeast is the number of daemons that watch the policy head in the fleet at least; each zone has one.
-	watchersLeast = 3
+	// watchersPerZone is the number of daemons of a zone that watch the policy head, watchersLeast that of the fleet
+	// at least.
+	watchersPerZone = 2
+	watchersLeast   = 3
+	// spotReads is how often a second the others of the fleet together read the policy head, in case all that watch
+	// it are cut from the platform.
+	spotReads = 1.0
 	// maxSeeds bounds the seeds asked in one try.
 	maxSeeds = 8
 	// maxContacts bounds the members asked in one try, beside the seeds.
@@ -281,8 +286,17 @@
 		}
 		return false
 	})
-	perZone := (watchersLeast + len(zones) - 1) / len(zones)
-	return d.rank() < perZone
+	return d.rank() < max(watchersPerZone, (watchersLeast+len(zones)-1)/len(zones))
+}
+
+// spots reports whether this daemon is to read the policy head now, once in
+// rankEvery. A cut that takes the daemons by what they do takes all that watch;
+// chance finds others.
+func (d *Daemon) spots() bool {
+	live := d.node.Count(func(e *sycapb.MemberEntry) bool {
+		return e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && e.Region == d.cfg.Region
+	})
+	return rand.Float64() < spotReads*rankEvery.Seconds()/float64(live+1)
 }
 
 func isDial(err error) bool {
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -117,7 +117,8 @@
 }
 
 // watchLoop watches the policy head while this daemon is among the watchers of
-// its zone, and reads it when no member gave a policy within policyWait.
+// its zone, reads it when no member gave a policy within policyWait, and now and
+// then in case that the watchers are cut from the platform.
 func (d *Daemon) watchLoop(ctx context.Context) error {
 	if d.platform == nil {
 		return nil
@@ -133,7 +134,7 @@
 		if d.joined.Load() && d.watches() {
 			err := d.watchHead(ctx)
 			d.log.WithField("err", err).Info("watch ended")
-		} else if d.holder.Policy() == nil && time.Since(start) >= wait {
+		} else if d.holder.Policy() == nil && time.Since(start) >= wait || d.holder.Policy() != nil && d.spots() {
 			d.readHead(ctx)
 		}
 		pause := rankEvery
