--- a/member/probe.go
+++ b/member/probe.go
@@ -163,11 +163,13 @@
 		return
 	}
 	n.relays.Go(func() error {
-		return n.cfg.Guard.Call("relay", func() {
+		// Guard has logged a panic; the asker gets no answer.
+		_ = n.cfg.Guard.Call("relay", func() {
 			if n.ping(ctx, p.To, target, ackWait) {
 				n.send(from, &sycapb.Packet{Kind: sycapb.Packet_KIND_ACK, Seq: p.Seq})
 			}
 		})
+		return nil
 	})
 }
 
--- a/member/sync.go
+++ b/member/sync.go
@@ -47,12 +47,11 @@
 func (n *Node) Join(ctx context.Context, addrs []netip.AddrPort) bool {
 	first := make(chan bool, 1)
 	n.relays.Go(func() error {
-		err := n.cfg.Guard.Call("join", func() { n.joinAll(ctx, addrs, first) })
-		if err != nil {
-			// A panic may have come before any answer.
+		// Guard has logged a panic; it may have come before any answer.
+		if n.cfg.Guard.Call("join", func() { n.joinAll(ctx, addrs, first) }) != nil {
 			tell(first, false)
 		}
-		return err
+		return nil
 	})
 	return <-first
 }
@@ -94,9 +93,10 @@
 func (n *Node) joinOne(ctx context.Context, addr netip.AddrPort, answers chan<- bool) {
 	n.relays.Go(func() error {
 		ok := false
-		err := n.cfg.Guard.Call("join", func() { ok = n.Sync(ctx, addr) == nil })
+		// Guard has logged a panic; the others are asked all the same.
+		_ = n.cfg.Guard.Call("join", func() { ok = n.Sync(ctx, addr) == nil })
 		answers <- ok
-		return err
+		return nil
 	})
 }
 
