--- /dev/null
+++ b/daemon/site_test.go
@@ -0,0 +1,338 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/config"
+	"sycamorespread.dev/daemon"
+	"sycamorespread.dev/life"
+	"sycamorespread.dev/platform"
+	"sycamorespread.dev/policy"
+	"sycamorespread.dev/store"
+)
+
+// shelf is a key-value service in memory that can be away.
+type shelf struct {
+	mu       sync.Mutex
+	away     bool
+	items    map[string]store.Item
+	revision uint64
+	// refused counts the calls while the service was away.
+	refused int
+}
+
+func (s *shelf) enter() error {
+	s.mu.Lock()
+	if s.away {
+		s.refused++
+		s.mu.Unlock()
+		return &store.RefusedError{Status: http.StatusServiceUnavailable}
+	}
+	return nil
+}
+
+func (s *shelf) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *shelf) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = store.Item{Key: key, Value: []byte(value), Revision: s.revision}
+}
+
+func (s *shelf) transport() store.Transport {
+	return store.Transport{
+		Get: func(_ context.Context, key string) (store.Item, error) {
+			if err := s.enter(); err != nil {
+				return store.Item{}, err
+			}
+			defer s.mu.Unlock()
+			return s.items[key], nil
+		},
+		Range: func(_ context.Context, prefix, _ string, _ bool) (store.Page, error) {
+			if err := s.enter(); err != nil {
+				return store.Page{}, err
+			}
+			defer s.mu.Unlock()
+			p := store.Page{}
+			for key, it := range s.items {
+				if strings.HasPrefix(key, prefix) {
+					p.Items = append(p.Items, it)
+				}
+			}
+			return p, nil
+		},
+		Watch: func(ctx context.Context, prefix string, after uint64, _ time.Duration) ([]store.Event, uint64, error) {
+			for range 20 {
+				if err := s.enter(); err != nil {
+					return nil, 0, err
+				}
+				it, now := s.items[prefix], s.revision
+				s.mu.Unlock()
+				if it.Revision > after {
+					return []store.Event{{Item: it}}, now, nil
+				}
+				select {
+				case <-ctx.Done():
+					return nil, 0, ctx.Err()
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+			return nil, after, nil
+		},
+		Write: func(_ context.Context, c store.Change) (store.Written, error) {
+			if err := s.enter(); err != nil {
+				return store.Written{}, err
+			}
+			defer s.mu.Unlock()
+			if s.items[c.Key].Revision != c.Base {
+				return store.Written{Item: s.items[c.Key]}, nil
+			}
+			s.revision++
+			s.items[c.Key] = store.Item{Key: c.Key, Value: c.Value, Revision: s.revision}
+			return store.Written{Swapped: true, Item: s.items[c.Key]}, nil
+		},
+		Grant: func(context.Context, time.Duration) (uint64, error) { return 1, s.enterOnly() },
+		Renew: func(context.Context, uint64) (bool, error) { return true, s.enterOnly() },
+	}
+}
+
+func (s *shelf) enterOnly() error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	s.mu.Unlock()
+	return nil
+}
+
+// site is a deployment on the users' platform in one process.
+type site struct {
+	t     *testing.T
+	shelf *shelf
+	g     errgroup.Group
+	nodes []*side
+	base  netip.Addr
+}
+
+// side is one instance: a daemon and its backend server.
+type side struct {
+	*site
+	id, service         string
+	ip                  netip.Addr
+	app                 string
+	runs                atomic.Int64
+	ran                 sync.Map
+	hold                atomic.Int64
+	stop                context.CancelFunc
+	done                chan error
+	out, ready, control string
+	// cut takes the instance from the store, and from nothing else.
+	cut   atomic.Bool
+	store netip.AddrPort
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, shelf: &shelf{items: map[string]store.Item{}}}
+	s.base = netip.AddrFrom4([4]byte{127, byte(10 + fleets.Add(1)%200), 77, 0})
+	t.Cleanup(func() {
+		for _, n := range s.nodes {
+			n.stop()
+		}
+		for _, n := range s.nodes {
+			if err := <-n.done; err != nil {
+				t.Errorf("%s: %v", n.id, err)
+			}
+		}
+	})
+	return s
+}
+
+func (s *site) serve(at netip.AddrPort, h http.Handler) netip.AddrPort {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.g.Go(func() error {
+		_ = srv.Serve(l)
+		return nil
+	})
+	s.t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// configure writes the operator's configuration at a version, with one route
+// to the service.
+func (s *site) configure(version uint64, service string) {
+	r := policy.Route{
+		Name: "r-" + service, Host: "h.example", Prefix: "/x/", Rank: 1, Attempts: 2,
+		Timeout: 1500 * time.Millisecond, Target: time.Second, Parts: []policy.Part{{Service: service, Weight: 1}},
+	}
+	services := []policy.Service{{Name: "one", Health: "/health", Connections: 50}, {Name: "two", Health: "/health", Connections: 50}}
+	table, err := policy.NewTable([]policy.Route{r}, services, policy.Limits{Body: 100_000})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	text, err := platform.EncodePolicy(version, table)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.shelf.put(platform.PolicyKey, text)
+}
+
+func (s *site) add(service string) *side {
+	s.t.Helper()
+	n := &side{site: s, service: service, id: fmt.Sprintf("%s-%d", service, len(s.nodes))}
+	n.ip = netip.AddrFrom4([4]byte{127, s.base.As4()[1], 77, byte(10 + len(s.nodes))})
+	n.app = s.serve(netip.AddrPortFrom(n.ip, 0), http.HandlerFunc(n.handle)).String()
+	n.out, n.ready, n.control = n.at(17404), n.at(17402), n.at(17406)
+	shelf := platform.StoreHandler(s.shelf.transport())
+	n.store = s.serve(netip.AddrPortFrom(n.ip, 0), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		shelf.ServeHTTP(w, r)
+	}))
+	s.nodes = append(s.nodes, n)
+	n.run()
+	return n
+}
+
+func (n *side) at(port uint16) string {
+	return netip.AddrPortFrom(n.ip, port).String()
+}
+
+// handle is the backend server.
+func (n *side) handle(w http.ResponseWriter, r *http.Request) {
+	h := platform.Headers()
+	w.Header().Set(h.Instance, "i-"+n.id)
+	if r.URL.Path == "/health" {
+		w.Header().Set(h.Load, "0,0,4")
+		return
+	}
+	n.runs.Add(1)
+	n.ran.Store(r.Header.Get(h.RequestID), true)
+	time.Sleep(time.Duration(n.hold.Load()))
+	w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
+	w.Header().Set(h.Signature, "sig")
+	_, _ = io.WriteString(w, "from "+n.id)
+}
+
+func (n *side) run() {
+	n.t.Helper()
+	text := fmt.Sprintf("[daemon]\nid = %s\nregion = r\nzone = z\naddr = %s\nhttp = %s\nprobe = 200ms\n[front]\noutbound = %s\ninbound = %s\nready = %s\ncontrol = %s\n"+
+		"stop_wait = 300ms\nstop_most = 3s\n[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n[server]\nservice = %s\naddr = %s\n",
+		n.id, n.at(17400), n.at(17401), n.out, n.at(17403), n.ready, n.control, n.store, n.service, n.app)
+	cfg, err := config.Parse("test", []byte(text))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d, err := daemon.New(cfg, logrus.NewEntry(log), daemon.Links{
+		Transport: platform.NewTransport, PolicyKey: platform.PolicyKey, DecodePolicy: platform.DecodePolicy, Headers: platform.Headers(),
+		Heartbeats: func(b daemon.Beats) http.Handler { return platform.HeartbeatHandler(platform.Sink(b)) },
+	})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop, n.done = stop, make(chan error, 1)
+	done := n.done
+	n.g.Go(func() error {
+		done <- d.Run(ctx)
+		return nil
+	})
+}
+
+// restart ends the daemon and starts it again.
+func (n *side) restart() {
+	n.t.Helper()
+	n.stop()
+	if err := <-n.done; err != nil {
+		n.t.Fatal(err)
+	}
+	n.run()
+}
+
+func (n *side) beat(sequence int64, slots int, draining bool) int {
+	status, err := platform.AnnounceHeartbeat(context.Background(), http.DefaultClient, netip.MustParseAddrPort(n.control), life.Report{
+		Instance: "i-" + n.id, Born: time.UnixMilli(1000), Sequence: sequence, Addr: netip.MustParseAddrPort(n.app),
+		Service: n.service, Zone: "z", Slots: slots, Draining: draining,
+	})
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+// ask sends one request to a daemon.
+func (n *side) ask(id string) (status int, header http.Header, body string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.out+"/x/y", strings.NewReader("b"))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	h := platform.Headers()
+	req.Header.Set(h.RequestID, id)
+	req.Header.Set(h.TimeLeft, "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+func (n *side) isReady() bool {
+	resp, err := http.Get("http://" + n.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// await polls until ok, at most for the time within.
+func (s *site) await(within time.Duration, what string, ok func() bool) {
+	s.t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > within {
+			s.t.Fatalf("%s: not within %s", what, within)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// served polls until a request to n is answered by a server of the service.
+func (s *site) served(within time.Duration, n *side, service string) {
+	s.t.Helper()
+	i := 0
+	s.await(within, "a request is served by "+service, func() bool {
+		i++
+		status, _, body := n.ask(fmt.Sprintf("%s-%d", n.id, i))
+		return status == 200 && strings.HasPrefix(body, "from "+service)
+	})
+}
