front: responses between daemons omit what the sender knows

Ruled out: fewer calls to other zones. The queues that cause them are real (docs/DESIGN.md). Change: the ingress leaves out the request ID if the sender adds it again (a flag of the request, so that daemons of the version before still get it), the load of the server and, except after a crash, its ID; the entry leaves out what the ingress sets anew.

--- a/front/entry.go
+++ b/front/entry.go
@@ -73,6 +73,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header()["Date"] = nil
+	resp.header.Set(f.Headers.RequestID, r.id)
 	resp.write(w)
 }
 
@@ -129,6 +130,10 @@
 	r.key = admissionKey(r.route.Rank, r.id)
 	f.inheritParent(r)
 	r.header = stripHopByHop(hr.Header)
+	// The ingress sets these, whatever the caller sent.
+	for _, name := range []string{f.Headers.TimeLeft, f.Headers.OriginService, f.Headers.ExpectedInstance} {
+		r.header.Del(name)
+	}
 	r.fingerprint = fingerprintOf(r)
 	return nil
 }
--- a/front/hopheader.go
+++ b/front/hopheader.go
@@ -32,6 +32,9 @@
 	// flagNested is set for a downstream call of a backend server. Shedding it would waste the work
 	// of the request that made it.
 	flagNested
+	// flagRestoresID is set if the sender adds the request ID to the response itself. Traffic between
+	// zones is expensive, and the ID of a nested call is long.
+	flagRestoresID
 )
 
 // HopError reports an invalid header from another Front.
@@ -54,6 +57,13 @@
 	return w
 }
 
+// escaped adds a field that has no hopSeparator and unescapes to itself.
+func (w *hopWriter) escaped(s string) *hopWriter {
+	w.separate()
+	w.b = append(w.b, s...)
+	return w
+}
+
 func (w *hopWriter) number(n int64) *hopWriter {
 	w.separate()
 	w.b = strconv.AppendInt(w.b, n, 10)
@@ -114,7 +124,7 @@
 // encodeHop returns the hopHeader of a request: service, route, origin, admission key,
 // fingerprint, time until the deadline and queue timeout in microseconds, flags.
 func (r *request) encodeHop(now time.Time) string {
-	flags := flagIf(r.route.Idempotent, flagIdempotent) | flagIf(r.retry, flagRetry) | flagIf(r.nested, flagNested)
+	flags := flagIf(r.route.Idempotent, flagIdempotent) | flagIf(r.retry, flagRetry) | flagIf(r.nested, flagNested) | flagRestoresID
 	var w hopWriter
 	w.text(r.service).text(r.route.Name).text(r.origin)
 	w.number(int64(r.key)).number(int64(r.fingerprint))
@@ -151,17 +161,23 @@
 	req.route.Idempotent = flags&flagIdempotent != 0
 	req.retry = flags&flagRetry != 0
 	req.nested = flags&flagNested != 0
+	req.senderRestoresID = flags&flagRestoresID != 0
 	return req, f.err
 }
 
 // writeHop writes the response to another Front. Its hopHeader has outcome, reason, admission
 // levels, running requests, queued requests, concurrency limit, time in the queue and at the
-// backend server in microseconds, and the ID of the backend server.
+// backend server in microseconds, and after a crash the ID of the backend server.
 func (a *response) writeHop(w http.ResponseWriter) {
 	var f hopWriter
-	f.text(a.outcome.String()).text(a.reason).text(a.levels.text)
+	f.text(a.outcome.String()).text(a.reason).escaped(a.levels.text)
 	f.number(int64(a.load.running)).number(int64(a.load.queued)).number(int64(a.load.limit))
-	f.number(a.queueTime.Microseconds()).number(a.runTime.Microseconds()).text(a.instance)
+	f.number(a.queueTime.Microseconds()).number(a.runTime.Microseconds())
+	if a.reason == reasonCrash {
+		f.text(a.instance)
+	} else {
+		f.text("")
+	}
 	h := w.Header()
 	h["Date"] = nil
 	h[hopHeader] = []string{string(f.b)}
@@ -198,8 +214,8 @@
 	return a
 }
 
-// encodeLevels encodes the levels of routes as a comma-separated list of ROUTE=LEVEL with escaped
-// names. It omits routes that admit all requests.
+// encodeLevels encodes the levels of routes as a comma-separated list of ROUTE=LEVEL. It omits routes
+// that admit all requests. Names are escaped twice, once for the list and once for hopHeader.
 func encodeLevels(byRoute map[string]action.Level) string {
 	var b []byte
 	for name, l := range byRoute {
@@ -209,14 +225,14 @@
 		if len(b) > 0 {
 			b = append(b, ',')
 		}
-		b = append(b, url.QueryEscape(name)...)
+		b = append(b, url.QueryEscape(url.QueryEscape(name))...)
 		b = append(b, '=')
 		b = strconv.AppendUint(b, uint64(l), 10)
 	}
 	return string(b)
 }
 
-// decodeLevels decodes the output of encodeLevels and ignores invalid items.
+// decodeLevels decodes the output of encodeLevels, unescaped once, and ignores invalid items.
 func decodeLevels(list string) map[string]action.Level {
 	byRoute := map[string]action.Level{}
 	for item := range strings.SplitSeq(list, ",") {
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -47,7 +47,11 @@
 		notRunResponse(reasonCanceled).writeHop(w)
 		return
 	}
-	f.runWithDeadline(r.Context(), req).writeHop(w)
+	resp := f.runWithDeadline(r.Context(), req)
+	if req.senderRestoresID {
+		resp.header.Del(f.Headers.RequestID)
+	}
+	resp.writeHop(w)
 }
 
 // runWithDeadline runs a request and cancels it serverResponseGrace after its deadline.
@@ -171,6 +175,7 @@
 	if resp.Status < http.StatusInternalServerError {
 		f.clearSuspect(r.fingerprint)
 	}
+	h.Del(f.Headers.Load)
 	return &response{
 		outcome:  answered,
 		status:   resp.Status,
