member: daemons that left a moment ago are pinged in each probe round

Ruled out: the policy (it comes with the first contact), the server (ready at once). Change: all members together send five pings a round to each member that died or left within 20 s; the bound does not grow with the fleet.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +19,9 @@
 	"sycamorespread.dev/sycapb"
 )
 
+// probeInterval is the time between two probes of a node.
+const probeInterval = 200 * time.Millisecond
+
 // network delivers packets between the nodes of a test and can partition zones.
 type network struct {
 	mu          sync.Mutex
@@ -138,7 +142,7 @@
 	ep := &endpoint{zone: zone, in: make(chan packet, 256), closed: make(chan struct{})}
 	ep.node = member.New(member.Config{
 		Self:          &sycapb.MemberEntry{Id: id, Incarnation: incarnation, Zone: zone, Region: "r", Addr: addr.String()},
-		ProbeInterval: 200 * time.Millisecond,
+		ProbeInterval: probeInterval,
 		Now:           time.Now,
 		Revision:      func() uint64 { return 0 },
 		Exchange:      c.network.exchange(addr),
@@ -261,6 +265,28 @@
 	c.awaitLive(t, 8*time.Second, 9, "healed", c.endpoints...)
 }
 
+// Most daemons restart while the platform is unavailable, so they know no other
+// one. The others must find each of them within two probe rounds. Guards against
+// one random dead member being probed every few rounds: while all instances of a
+// service restarted in turn, nobody used those that were back.
+func TestRestartedDaemonsAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, remaining = 40, 3
+		c := newCluster(t, daemons)
+		c.awaitLive(t, 3*time.Second, daemons, "join", c.endpoints...)
+		others := c.endpoints[:remaining]
+		for _, ep := range c.endpoints[remaining:] {
+			ep.node.UpdateSelf(func(e *sycapb.MemberEntry) { e.State = sycapb.MemberState_MEMBER_STATE_LEFT })
+		}
+		c.awaitLive(t, 3*time.Second, remaining, "most daemons leave", others...)
+		for i, ep := range c.endpoints[remaining:] {
+			ep.down.Store(true)
+			c.start(remaining+i, 2)
+		}
+		c.awaitLive(t, 2*probeInterval, daemons, "they restart", others...)
+	})
+}
+
 func TestPausedDaemonRejoins(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 6)
--- a/member/probe.go
+++ b/member/probe.go
@@ -23,6 +23,11 @@
 	indirectFanout = 3
 	// suspectTimeout is the time within which a suspected member must refute the suspicion.
 	suspectTimeout = 1500 * time.Millisecond
+	// departedTTL is how long a member that died or left counts as departed, and is expected back.
+	departedTTL = 20 * time.Second
+	// departedPings is the number of pings that all members together send to a departed one in a probe
+	// round.
+	departedPings = 5
 	// deadProbeRounds is the number of probe rounds between two probes of a dead member.
 	deadProbeRounds = 3
 )
@@ -38,6 +43,7 @@
 		}
 		n.expireSuspects()
 		n.purge()
+		n.pingDeparted()
 		if round%deadProbeRounds == 0 {
 			n.probeDead()
 		}
@@ -193,9 +199,35 @@
 	}
 }
 
-// probeDead sends a ping with its own entry and that of the member to one random
-// member that is dead or left. If a partition has healed, the member refutes. A
-// daemon that restarted at its old address finds the other members.
+// pingDeparted pings the members that died or left within departedTTL, so that
+// a daemon that restarts while the platform is unavailable soon finds the others.
+func (n *Node) pingDeparted() {
+	n.mu.Lock()
+	now := n.cfg.Now()
+	live := 1
+	var departed []*Member
+	for _, m := range n.members {
+		switch {
+		case m.Entry.State < sycapb.MemberState_MEMBER_STATE_DEAD:
+			live++
+		case now.Sub(m.UpdatedAt) <= departedTTL:
+			departed = append(departed, m)
+		}
+	}
+	packets := map[netip.AddrPort]*sycapb.Packet{}
+	for _, m := range departed {
+		if rand.Float64() < departedPings/float64(live) {
+			packets[m.Addr] = n.pingOf(m)
+		}
+	}
+	n.mu.Unlock()
+	for addr, p := range packets {
+		n.send(addr, p)
+	}
+}
+
+// probeDead pings one random member that is dead or left. If a partition has
+// healed, the member refutes.
 func (n *Node) probeDead() {
 	n.mu.Lock()
 	var dead []*Member
@@ -209,12 +241,19 @@
 		return
 	}
 	m := dead[rand.IntN(len(dead))]
-	p := &sycapb.Packet{Kind: sycapb.Packet_KIND_PING, To: m.Entry.Id, Entries: []*sycapb.MemberEntry{
+	p := n.pingOf(m)
+	n.mu.Unlock()
+	n.send(m.Addr, p)
+}
+
+// pingOf returns a ping with the entries of a member and of this node. The member
+// refutes its entry, or learns the address of this node if it restarted. The
+// caller must hold n.mu.
+func (n *Node) pingOf(m *Member) *sycapb.Packet {
+	return &sycapb.Packet{Kind: sycapb.Packet_KIND_PING, To: m.Entry.Id, Entries: []*sycapb.MemberEntry{
 		proto.Clone(m.Entry).(*sycapb.MemberEntry),
 		proto.Clone(n.self).(*sycapb.MemberEntry),
 	}}
-	n.mu.Unlock()
-	n.send(m.Addr, p)
 }
 
 // PollRevision pings every live member that has not reported a policy revision
