route: the server of a stopping daemon is used if its service has no other

The second daemon announces its stop 0.7 s after SIGTERM and serves for 1.8 s more, but the others send it nothing: all requests are refused for want of a server, though one is there. Change: a stopping target stays a candidate, the last choice before those in backoff. The daemon answers what it has accepted, as before; a server that leaves is not affected. Tests: route, and a daemon beside the only server that stops (503 after 0.7 s before).

--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -191,3 +191,28 @@
 		one.run()
 	}
 }
+
+// The daemon beside the only server of a service stops. Callers of other daemons
+// must be served until it accepts no more requests: the server itself is in
+// service. Guards against a restart of the daemons of a service, one after the
+// other, that refused nearly all requests for two seconds.
+func TestServerOfStoppingDaemonServes(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.stopDelay = 1500 * time.Millisecond
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	start := time.Now()
+	two.stop()
+	// The daemon announces that it stops after 700 ms.
+	for n := 0; time.Since(start) < s.stopDelay-100*time.Millisecond; n++ {
+		if status, _, body := one.request(fmt.Sprintf("stopping-%d", n)); status != 200 {
+			t.Fatalf("%s after the stop: status %d %s", time.Since(start), status, body)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := <-two.done; err != nil {
+		t.Error(err)
+	}
+	two.run()
+}
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -127,9 +127,11 @@
 type httpCluster struct {
 	t     *testing.T
 	store *fakeStore
-	g     errgroup.Group
-	nodes []*httpNode
-	base  netip.Addr
+	// stopDelay is the minimum time for which a stopping daemon accepts requests.
+	stopDelay time.Duration
+	g         errgroup.Group
+	nodes     []*httpNode
+	base      netip.Addr
 }
 
 // httpNode is one instance: a daemon and its backend server.
@@ -150,7 +152,7 @@
 }
 
 func newHTTPCluster(t *testing.T) *httpCluster {
-	s := &httpCluster{t: t, store: &fakeStore{items: map[string]store.Item{}}}
+	s := &httpCluster{t: t, stopDelay: 300 * time.Millisecond, store: &fakeStore{items: map[string]store.Item{}}}
 	s.base = netip.AddrFrom4([4]byte{127, byte(10 + clusters.Add(1)%200), 77, 0})
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
@@ -239,8 +241,8 @@
 func (n *httpNode) run() {
 	n.t.Helper()
 	text := fmt.Sprintf("[daemon]\nid = %s\nregion = r\nzone = z\naddr = %s\nhttp = %s\nprobe = 200ms\n[front]\noutbound = %s\ninbound = %s\nready = %s\ncontrol = %s\n"+
-		"stop_wait = 300ms\nstop_most = 3s\n[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n[server]\nservice = %s\naddr = %s\n",
-		n.id, n.addr(17400), n.addr(17401), n.outboundAddr, n.addr(17403), n.readyAddr, n.controlAddr, n.storeAddr, n.service, n.serverAddr)
+		"stop_wait = %s\nstop_most = 3s\n[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n[server]\nservice = %s\naddr = %s\n",
+		n.id, n.addr(17400), n.addr(17401), n.outboundAddr, n.addr(17403), n.readyAddr, n.controlAddr, n.stopDelay, n.storeAddr, n.service, n.serverAddr)
 	cfg, err := config.Parse("test", []byte(text))
 	if err != nil {
 		n.t.Fatal(err)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -146,7 +146,8 @@
 			Service:     e.Service,
 			Zone:        e.Zone,
 			Slots:       int(e.Slots),
-			ByIDOnly:    e.Leaving || e.Down || e.State != sycapb.MemberState_MEMBER_STATE_ALIVE,
+			Stopping:    e.Leaving,
+			ByIDOnly:    e.Down || e.State != sycapb.MemberState_MEMBER_STATE_ALIVE,
 		})
 	}
 	d.node.ForEach(add)
--- a/route/route.go
+++ b/route/route.go
@@ -64,6 +64,9 @@
 	Zone        string
 	// Slots is the number of calls that the backend server runs at once.
 	Slots int
+	// Stopping is set while the daemon of the target prepares to stop. The target still serves calls,
+	// but Pick chooses it only if the service has no other one.
+	Stopping bool
 	// ByIDOnly excludes the target from Pick; PickByID still finds it.
 	ByIDOnly bool
 }
@@ -247,24 +250,29 @@
 	return t.newAttempt(c, method), nil
 }
 
-// available returns the candidates that are reachable, not excluded and not in
-// backoff. If all of these are in backoff, it returns them.
+// available returns the candidates that are reachable, not excluded, not in
+// backoff and not stopping. If there are none, it returns those that are
+// stopping, and else those in backoff.
 func (t *Table) available(req Request, now time.Time) []*candidate {
-	var available, avoided []*candidate
+	var available, avoided, stopping []*candidate
 	for _, c := range t.services[req.Service] {
-		if c.unreachable || slices.Contains(req.Exclude, c.target.ID) {
-			continue
-		}
-		if now.Before(c.avoidUntil) {
+		switch {
+		case c.unreachable || slices.Contains(req.Exclude, c.target.ID):
+		case now.Before(c.avoidUntil):
 			avoided = append(avoided, c)
-			continue
+		case c.target.Stopping:
+			stopping = append(stopping, c)
+		default:
+			available = append(available, c)
 		}
-		available = append(available, c)
 	}
-	if len(available) == 0 {
-		return avoided
+	switch {
+	case len(available) > 0:
+		return available
+	case len(stopping) > 0:
+		return stopping
 	}
-	return available
+	return avoided
 }
 
 // admittingCandidates returns the candidates that admit the request, or none if
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -114,6 +114,33 @@
 	})
 }
 
+// While its daemon prepares to stop, a server still serves. It gets calls only if
+// the service has no other server that can be reached.
+func TestStoppingServerIsTheLastChoice(t *testing.T) {
+	convey.Convey("With a stopping server and another one", t, func() {
+		now := time.Unix(1000, 0)
+		tab := route.New("self", "a", func() time.Time { return now })
+		targets := []route.Target{
+			{ID: "stopping", Service: service, Zone: "a", Slots: 10, Stopping: true},
+			{ID: "other", Service: service, Zone: "b", Slots: 10},
+		}
+		tab.Update(targets)
+		convey.Convey("all calls go to the other one", func() {
+			for range 20 {
+				convey.So(mustPick(tab, request(0)).Target.ID, convey.ShouldEqual, "other")
+			}
+		})
+		convey.Convey("calls go to the stopping one while the other fails", func() {
+			mustPick(tab, request(0)).Fail(true)
+			convey.So(mustPick(tab, request(0)).Target.ID, convey.ShouldEqual, "stopping")
+		})
+		convey.Convey("calls go to the stopping one once it is the only one", func() {
+			tab.Update(targets[:1])
+			convey.So(mustPick(tab, request(0)).Target.ID, convey.ShouldEqual, "stopping")
+		})
+	})
+}
+
 func TestStickyTargetIsSameAtAllDaemons(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
