--- a/member/probe.go
+++ b/member/probe.go
@@ -222,7 +222,8 @@
 	}
 	n.mu.Unlock()
 	for addr, p := range packets {
-		n.send(addr, p)
+		// Most of these are lost, so they carry no updates, which are sent a limited number of times.
+		n.sendWith(addr, p, n.fillSender)
 	}
 }
 
