--- a/front/entry.go
+++ b/front/entry.go
@@ -73,6 +73,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header()["Date"] = nil
+	// Another instance omits the ID in its response.
 	resp.header.Set(f.Headers.RequestID, r.id)
 	resp.write(w)
 }
--- a/front/hopheader.go
+++ b/front/hopheader.go
@@ -57,7 +57,7 @@
 	return w
 }
 
-// escaped adds a field that has no hopSeparator and unescapes to itself.
+// escaped adds a field that is already escaped.
 func (w *hopWriter) escaped(s string) *hopWriter {
 	w.separate()
 	w.b = append(w.b, s...)
@@ -169,15 +169,14 @@
 // levels, running requests, queued requests, concurrency limit, time in the queue and at the
 // backend server in microseconds, and after a crash the ID of the backend server.
 func (a *response) writeHop(w http.ResponseWriter) {
+	crashed := ""
+	if a.reason == reasonCrash {
+		crashed = a.instance
+	}
 	var f hopWriter
 	f.text(a.outcome.String()).text(a.reason).escaped(a.levels.text)
 	f.number(int64(a.load.running)).number(int64(a.load.queued)).number(int64(a.load.limit))
-	f.number(a.queueTime.Microseconds()).number(a.runTime.Microseconds())
-	if a.reason == reasonCrash {
-		f.text(a.instance)
-	} else {
-		f.text("")
-	}
+	f.number(a.queueTime.Microseconds()).number(a.runTime.Microseconds()).text(crashed)
 	h := w.Header()
 	h["Date"] = nil
 	h[hopHeader] = []string{string(f.b)}
--- a/route/route.go
+++ b/route/route.go
@@ -180,17 +180,20 @@
 	t.services = services
 }
 
-// subset returns at most maxZoneCandidates candidates of each zone. They are
-// chosen by hash, so that each daemon has its own stable subset.
+// subset returns at most maxZoneCandidates candidates of each zone, besides
+// those that are stopping. They are chosen by hash, so that each daemon has its
+// own stable subset.
 func (t *Table) subset(list []*candidate) []*candidate {
 	slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.hash, b.hash) })
 	kept := make([]*candidate, 0, len(list))
 	perZone := map[string]int{}
 	for _, c := range list {
-		if perZone[c.target.Zone] >= maxZoneCandidates {
-			continue
+		if !c.target.Stopping {
+			if perZone[c.target.Zone] >= maxZoneCandidates {
+				continue
+			}
+			perZone[c.target.Zone]++
 		}
-		perZone[c.target.Zone]++
 		kept = append(kept, c)
 	}
 	return kept
