fresh, daemon: log and metric of how long ago the policy was known to be the newest

Callers of a daemon got answers of an older version for 4.2 s, and no line told since when that daemon knew nothing of the store. Each read of the store and each watch that ends without a change now confirms the policy in force. 'policy not confirmed' (age, last source) and 'policy confirmed again' (gap) are logged once each, sycd_policy_confirmed_ms is the age, and 'policy in force' has the time since the first announcement (announced_ms). No decision depends on it yet.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/burn"
 	"sycamorespread.dev/config"
+	"sycamorespread.dev/fresh"
 	"sycamorespread.dev/front"
 	"sycamorespread.dev/guard"
 	"sycamorespread.dev/httpc"
@@ -83,6 +84,7 @@
 	quarantine   *poison.Registry
 	burnRecorder *burn.Recorder
 	policyHolder *policy.Holder
+	confirmed    *fresh.Tracker
 	registry     *policy.Registry
 	node         *member.Node
 	peers        *peer.Client
@@ -153,6 +155,7 @@
 	if err := d.loadPolicy(); err != nil {
 		return nil, err
 	}
+	d.confirmed = fresh.New(fresh.Config{MaxAge: maxPolicyAge, Revision: d.policyHolder.Revision, Now: time.Now, Log: log})
 	d.openPlatform()
 	return d, d.listen()
 }
@@ -220,6 +223,7 @@
 	g.Go(func() error { return d.guard.Loop(inner, "join", finder.Join) })
 	if d.platform != nil {
 		g.Go(func() error { return d.guard.Loop(inner, "seed", finder.MaintainSeed) })
+		g.Go(func() error { return d.guard.Loop(inner, "confirm", d.confirmLoop) })
 	}
 	g.Go(func() error { return d.guard.Loop(inner, "watch", d.watchLoop) })
 	g.Go(func() error { return d.guard.Loop(inner, "pull", d.pullLoop) })
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -354,6 +354,9 @@
 		"actions.held":     float64(d.actions.Len()),
 		"peer.dials":       float64(d.peers.Dials()),
 	}
+	if age, ok := d.confirmed.Age(); ok {
+		values["policy.confirmed_ms"] = float64(age.Milliseconds())
+	}
 	if d.platform != nil {
 		c := d.platform.Counts()
 		values["platform.reads"] = float64(c.Reads)
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -26,6 +26,11 @@
 	watcherCheckInterval = time.Second
 	// pullTimeout bounds one policy pull from a peer.
 	pullTimeout = time.Second
+	// maxPolicyAge is the age from which a confirmation that the policy is the newest is missed.
+	maxPolicyAge = 1200 * time.Millisecond
+
+	// sourcePlatform is the source of a policy that this daemon read from the store.
+	sourcePlatform = "platform"
 )
 
 // pullSource is a peer that has a newer policy, with its revision.
@@ -48,13 +53,14 @@
 	if !d.policyHolder.Update(p) {
 		return
 	}
-	d.log.WithFields(logrus.Fields{"revision": p.Revision, "change": p.ChangeID, "from": source}).Info("policy in force")
+	d.log.WithFields(logrus.Fields{"revision": p.Revision, "change": p.ChangeID, "from": source, "announced_ms": d.confirmed.TakeDelay().Milliseconds()}).Info("policy in force")
 	d.node.AnnounceRevision()
 }
 
 // requestPull schedules a pull from a peer that has a newer policy. It does
 // nothing if a pull is pending.
 func (d *Daemon) requestPull(addr netip.AddrPort, revision uint64) {
+	d.confirmed.Announce(revision)
 	select {
 	case d.pulls <- pullSource{addr: addr, revision: revision}:
 	default:
@@ -157,23 +163,30 @@
 // watchHead applies each version of the policy head until the watch breaks or
 // this daemon is no longer a watcher.
 func (d *Daemon) watchHead(ctx context.Context) error {
-	return d.platform.Watch(ctx, d.policyKey(), d.isWatcher, func(item store.Item) { d.applyHead(ctx, item) })
+	return d.platform.Watch(ctx, store.Watcher{
+		Key:         d.policyKey(),
+		Keep:        d.isWatcher,
+		OnItem:      func(item store.Item, at time.Time) { d.applyHead(ctx, item, at) },
+		OnUnchanged: func(at time.Time) { d.confirmed.Confirm(d.policyHolder.Revision(), at, sourcePlatform) },
+	})
 }
 
 func (d *Daemon) readHead(ctx context.Context) {
+	start := time.Now()
 	item, err := d.platform.Get(ctx, d.policyKey())
 	if err != nil {
 		d.log.WithField("err", err).Warn("read policy head failed")
 		return
 	}
-	d.applyHead(ctx, item)
+	d.applyHead(ctx, item, start)
 }
 
 // applyHead loads and applies the policy that the head names if it is newer than
-// the one in force. It reports an older head and ignores it.
-func (d *Daemon) applyHead(ctx context.Context, item store.Item) {
+// the one in force, and confirms that it is the newest at the given time. It
+// reports an older head and ignores it.
+func (d *Daemon) applyHead(ctx context.Context, item store.Item, at time.Time) {
 	if d.front != nil {
-		d.applyOperatorPolicy(item)
+		d.applyOperatorPolicy(item, at)
 		return
 	}
 	head, err := policy.ParseHead(item.Value)
@@ -188,12 +201,14 @@
 		return
 	}
 	if head.Revision == have {
+		d.confirmed.Confirm(have, at, sourcePlatform)
 		return
 	}
 	for head.Revision > d.policyHolder.Revision() {
 		p, err := d.registry.Load(ctx, head)
 		if err == nil {
-			d.applyPolicy(p, "platform")
+			d.applyPolicy(p, sourcePlatform)
+			d.confirmed.Confirm(p.Revision, at, sourcePlatform)
 			return
 		}
 		d.log.WithField("err", err).Warn("load policy failed")
@@ -204,7 +219,7 @@
 }
 
 // applyOperatorPolicy applies the policy that the operator keeps in the store.
-func (d *Daemon) applyOperatorPolicy(item store.Item) {
+func (d *Daemon) applyOperatorPolicy(item store.Item, at time.Time) {
 	if item.Revision == 0 {
 		return
 	}
@@ -218,5 +233,17 @@
 		d.log.WithFields(logrus.Fields{"stored": p.Revision, "in_force": have}).Error("stored policy is older than the policy in force")
 		return
 	}
-	d.applyPolicy(p, "platform")
+	d.applyPolicy(p, sourcePlatform)
+	d.confirmed.Confirm(p.Revision, at, sourcePlatform)
+}
+
+// confirmLoop logs when the policy in force has not been confirmed within
+// maxPolicyAge.
+func (d *Daemon) confirmLoop(ctx context.Context) error {
+	for sleep(ctx, max(policyCheckInterval, d.confirmed.Remaining())) {
+		if d.confirmed.Remaining() == 0 && d.joined.Load() {
+			d.confirmed.ReportLost(nil)
+		}
+	}
+	return nil
 }
--- a/store/store.go
+++ b/store/store.go
@@ -172,35 +172,59 @@
 	return list, nil
 }
 
-// Watch calls onChange with the current item and then with the item after each
-// observed change, until ctx ends, a call fails, or keepWatching, which is called
-// before each watch call, returns false. It may merge changes in quick succession.
-func (c *Client) Watch(ctx context.Context, key string, keepWatching func() bool, onChange func(Item)) error {
-	item, err := c.Get(ctx, key)
+// Watcher observes one key. Both times passed to its functions are of before the
+// response was sent, at which the last item was the newest.
+type Watcher struct {
+	Key string
+	// Keep is called before each watch call; the watch ends if it returns false.
+	Keep func() bool
+	// OnItem is called with the current item and then with the item after each observed change. It
+	// may be called once for several changes in quick succession.
+	OnItem func(item Item, at time.Time)
+	// OnUnchanged is called after a watch call without a change.
+	OnUnchanged func(at time.Time)
+}
+
+// Watch observes the key of w until ctx ends, a call fails, or Keep returns false.
+func (c *Client) Watch(ctx context.Context, w Watcher) error {
+	start := time.Now()
+	item, err := c.Get(ctx, w.Key)
 	if err != nil {
 		return err
 	}
-	onChange(item)
+	w.OnItem(item, start)
 	after := item.Revision
-	for ctx.Err() == nil && keepWatching() {
-		events, next, err := c.watchOnce(ctx, key, after)
+	for ctx.Err() == nil && w.Keep() {
+		start = time.Now()
+		events, next, err := c.watchOnce(ctx, w.Key, after)
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
-			return c.Watch(ctx, key, keepWatching, onChange)
+			return c.Watch(ctx, w)
 		}
 		if err != nil {
 			return err
 		}
-		for i := range events {
-			if events[i].Key == key && !events[i].Deleted {
-				onChange(events[i].Item)
-			}
+		if !w.report(events, start) {
+			w.OnUnchanged(start)
 		}
 		after = max(after, next)
 	}
 	return ctx.Err()
 }
 
+// report calls OnItem with the changes of the key and reports whether there are
+// any.
+func (w *Watcher) report(events []Event, at time.Time) bool {
+	changed := false
+	for i := range events {
+		if events[i].Key == w.Key && !events[i].Deleted {
+			w.OnItem(events[i].Item, at)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // watchOnce makes one watch call.
 func (c *Client) watchOnce(ctx context.Context, key string, after uint64) ([]Event, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchGracePeriod)
