daemon: failing tests for a version that comes into force late

Four ways in which a daemon that can reach the store, or a member that knows the version, has not applied it 2 s after its acknowledgement: no watcher can read the store; the members that announce it do not respond; the connections of open watches go silent; a watch returns past a change without it. The simulated store of the tests now waits as long as a watch asks, in place of 0.2 s, as the platform's does.

--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -32,6 +34,8 @@
 	revision    uint64
 	// rejected counts the calls that arrived while the store was unavailable.
 	rejected int
+	// deaf is true while watches omit changes.
+	deaf bool
 }
 
 func (s *fakeStore) lockAvailable() error {
@@ -50,6 +54,12 @@
 	s.unavailable = away
 }
 
+func (s *fakeStore) setDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
 func (s *fakeStore) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,15 +89,20 @@
 			}
 			return p, nil
 		},
-		Watch: func(ctx context.Context, prefix string, after uint64, _ time.Duration) ([]store.Event, uint64, error) {
-			for range 20 {
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+			for start := time.Now(); ; {
 				if err := s.lockAvailable(); err != nil {
 					return nil, 0, err
 				}
-				it, now := s.items[prefix], s.revision
+				it, now, deaf := s.items[prefix], s.revision, s.deaf
 				s.mu.Unlock()
-				if it.Revision > after {
+				switch {
+				case deaf && now > after:
+					return nil, now, nil
+				case it.Revision > after:
 					return []store.Event{{Item: it}}, now, nil
+				case time.Since(start) > wait:
+					return nil, now, nil
 				}
 				select {
 				case <-ctx.Done():
@@ -95,7 +110,6 @@
 				case <-time.After(10 * time.Millisecond):
 				}
 			}
-			return nil, after, nil
 		},
 		Write: func(_ context.Context, c store.ConditionalWrite) (store.WriteResult, error) {
 			if err := s.lockAvailable(); err != nil {
@@ -132,6 +146,8 @@
 	g         errgroup.Group
 	nodes     []*httpNode
 	base      netip.Addr
+	// silence is raised to make the connections of all open calls to the store silent.
+	silence atomic.Int64
 }
 
 // httpNode is one instance: a daemon and its backend server.
@@ -211,7 +227,15 @@
 		if n.partitioned.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		storeHandler.ServeHTTP(w, r)
+		before := s.silence.Load()
+		response := httptest.NewRecorder()
+		storeHandler.ServeHTTP(response, r)
+		if s.silence.Load() != before {
+			<-r.Context().Done()
+		}
+		maps.Copy(w.Header(), response.Header())
+		w.WriteHeader(response.Code)
+		_, _ = w.Write(response.Body.Bytes())
 	}))
 	s.nodes = append(s.nodes, n)
 	n.run()
