daemon: a daemon whose policy is not confirmed reads the store itself

Cause: only the watchers of a zone read the store at once. All other daemons took the lack of news for the lack of changes and read the store at random times, about once a second all together. If the watchers that they reach are frozen, refused by the store or cut off from it, nothing tells them. The same at a watcher whose connection has gone silent: its watch ended after 3 s.

Each packet and each pulled policy now carries the time since the revision was known to be the newest. Watchers confirm it every 0.4 of the time within which a policy must be in force (policy.delay_max), and tell the followers of their zone. A daemon without a confirmation for 0.6 of that time reads the store, the second time on a new connection. The random reads are gone; TestConfirmedDaemonReadsTheStore: none while watchers confirm.

--- a/config/config.go
+++ b/config/config.go
@@ -70,6 +70,8 @@
 
 	// PolicyFile holds the policy of revision 0, which applies until a later one arrives.
 	PolicyFile string
+	// PolicyDelay is the time within which a new policy must be in force.
+	PolicyDelay time.Duration
 
 	// Mode selects full overload control or one of the baselines of the benchmarks.
 	Mode admit.Mode
@@ -180,6 +182,7 @@
 	c.MaxConnections = r.integer("server", "connections", connections, 1, 100_000)
 	c.WarmUp = r.duration("server", "warm_up", 0, 0, 10*time.Minute)
 	c.PolicyFile = r.text("policy", "file", optional)
+	c.PolicyDelay = r.duration("policy", "delay_max", 2*time.Second, 500*time.Millisecond, time.Minute)
 	c.Mode = r.mode("control", "mode")
 	c.RetryRatio = r.float("control", "retry_ratio", allow.DefaultRatio/allow.RatioSafetyFactor, 1)
 	c.RetrySlack = r.float("control", "retry_slack", 0, maxRetrySlack)
--- a/daemon/config_test.go
+++ b/daemon/config_test.go
@@ -42,6 +42,22 @@
 	}
 }
 
+func TestConfirmedDaemonReadsTheStore(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	for range 4 {
+		s.add("one")
+	}
+	five := s.add("two")
+	s.awaitServed(5*time.Second, five, "two")
+	time.Sleep(watchEnd)
+	before := five.storeCalls.Load()
+	time.Sleep(2 * applyTimeout)
+	if got := five.storeCalls.Load() - before; got > 0 {
+		t.Errorf("%d calls to the store although watchers confirm the policy", got)
+	}
+}
+
 func TestVersionIsLateIfSourcesDoNotRespond(t *testing.T) {
 	s := newHTTPCluster(t)
 	s.configure(7, "two")
--- /dev/null
+++ b/daemon/confirm.go
@@ -0,0 +1,193 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/store"
+	"sycamorespread.dev/sycapb"
+)
+
+const (
+	// confirmRatio and policyAgeRatio are ratios of the time within which a policy must be in force:
+	// the interval at which watchers confirm that it is the newest, and the age from which a daemon
+	// reads the store itself. The rest is for that read.
+	confirmRatio   = 0.4
+	policyAgeRatio = 0.6
+	// confirmRetryDelay is the delay before a second read of the store if the first one has not
+	// returned or has failed. It doubles with each further read, up to maxConfirmRetryDelay.
+	confirmRetryDelay    = 150 * time.Millisecond
+	maxConfirmRetryDelay = time.Second
+	// maxConfirmReads bounds the reads in flight.
+	maxConfirmReads = 2
+	// maxFollowersPerWatcher bounds the members of its zone per watcher.
+	maxFollowersPerWatcher = 16
+
+	// sourcePlatform is the source of a policy that this daemon read from the store.
+	sourcePlatform = "platform"
+)
+
+func scale(d time.Duration, ratio float64) time.Duration {
+	return time.Duration(ratio * float64(d))
+}
+
+// policyConfirmed records that a member knew a revision to be the newest at a
+// time.
+func (d *Daemon) policyConfirmed(addr netip.AddrPort, revision uint64, at time.Time) {
+	d.confirmed.Confirm(revision, at, addr.String())
+}
+
+// confirmPolicy records a read of the store that returned the policy in force, and
+// passes it on if this daemon is a watcher.
+func (d *Daemon) confirmPolicy(revision uint64, at time.Time) {
+	d.confirmed.Confirm(revision, at, sourcePlatform)
+	d.node.SendRevision(d.followers())
+}
+
+// confirmLoop reads the store whenever the policy in force is not known to be the
+// newest: no watcher that reaches this daemon has read the store lately, or this
+// daemon has no policy.
+func (d *Daemon) confirmLoop(ctx context.Context) error {
+	if !d.awaitPeerPolicy(ctx) {
+		return nil
+	}
+	var reads errgroup.Group
+	reads.SetLimit(maxConfirmReads)
+	retry := confirmRetryDelay
+	for {
+		wait := d.confirmed.Remaining()
+		if wait > 0 {
+			retry = confirmRetryDelay
+		} else {
+			d.startRead(ctx, &reads, retry > confirmRetryDelay)
+			wait = retry/2 + rand.N(retry)
+			retry = min(2*retry, maxConfirmRetryDelay)
+			if d.policyHolder.Policy() == nil {
+				wait = watchRetryDelay
+			}
+		}
+		if !sleep(ctx, max(wait, time.Millisecond)) {
+			return reads.Wait()
+		}
+	}
+}
+
+// startRead starts a read of the store unless maxConfirmReads are in flight. A
+// repeated read uses a new connection, since idle ones may have gone silent.
+func (d *Daemon) startRead(ctx context.Context, reads *errgroup.Group, repeated bool) {
+	if repeated {
+		d.platform.CloseIdle()
+	}
+	reads.TryGo(func() error {
+		// The policy is read again until it is confirmed; Guard logs a panic.
+		_ = d.guard.Call("read", func() {
+			if err := d.readHead(ctx); ctx.Err() == nil {
+				d.confirmed.ReportLost(err)
+			}
+		})
+		return nil
+	})
+}
+
+// awaitPeerPolicy waits until members have had time to send a policy, which saves
+// a read. It returns false if ctx has ended.
+func (d *Daemon) awaitPeerPolicy(ctx context.Context) bool {
+	start := time.Now()
+	wait := peerPolicyTimeout
+	if d.cfg.Bootstrap {
+		wait = firstPeerPolicyTimeout
+	}
+	for d.policyHolder.Policy() == nil && time.Since(start) < wait {
+		if !sleep(ctx, policyCheckInterval) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// zoneMember is a live daemon of this daemon's zone.
+type zoneMember struct {
+	id      string
+	addr    netip.AddrPort
+	leaving bool
+}
+
+// zoneMembers returns the live daemons of this daemon's zone, itself included, by
+// ID and with those that leave at the end. The first ones watch the store.
+func (d *Daemon) zoneMembers() []zoneMember {
+	list := []zoneMember{{id: d.cfg.ID, leaving: d.leaving.Load()}}
+	d.node.ForEach(func(e *sycapb.MemberEntry, addr netip.AddrPort) {
+		if e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && e.Zone == d.cfg.Zone && e.Region == d.cfg.Region {
+			list = append(list, zoneMember{id: e.Id, addr: addr, leaving: e.Leaving})
+		}
+	})
+	slices.SortFunc(list, func(a, b zoneMember) int {
+		switch {
+		case a.leaving == b.leaving:
+			return cmp.Compare(a.id, b.id)
+		case a.leaving:
+			return 1
+		}
+		return -1
+	})
+	return list
+}
+
+// followers returns the addresses of the zone members to which this daemon sends
+// its confirmations. Each of them is a follower of two watchers.
+func (d *Daemon) followers() []netip.AddrPort {
+	list := d.zoneMembers()
+	watchers := min(len(list), d.watchers(len(list)))
+	rank := slices.IndexFunc(list, func(m zoneMember) bool { return m.id == d.cfg.ID })
+	if rank >= watchers {
+		return nil
+	}
+	var addrs []netip.AddrPort
+	for i := watchers; i < len(list); i++ {
+		if i%watchers == rank || (i+1)%watchers == rank {
+			addrs = append(addrs, list[i].addr)
+		}
+	}
+	return addrs
+}
+
+// watchers returns the number of watchers in a zone with a number of live daemons.
+func (d *Daemon) watchers(zoneSize int) int {
+	zones := map[string]bool{d.cfg.Zone: true}
+	d.node.Count(func(e *sycapb.MemberEntry) bool {
+		if e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !e.Leaving && e.Region == d.cfg.Region {
+			zones[e.Zone] = true
+		}
+		return false
+	})
+	return max(watchersPerZone, ceilDiv(minWatchers, len(zones)), ceilDiv(zoneSize, maxFollowersPerWatcher))
+}
+
+func ceilDiv(a, b int) int {
+	return (a + b - 1) / b
+}
+
+// isWatcher reports whether this daemon watches the policy head.
+func (d *Daemon) isWatcher() bool {
+	list := d.zoneMembers()
+	rank := slices.IndexFunc(list, func(m zoneMember) bool { return m.id == d.cfg.ID })
+	return rank < d.watchers(len(list))
+}
+
+// watchHead applies each version of the policy head, and confirms it, until the
+// watch breaks or this daemon is no longer a watcher.
+func (d *Daemon) watchHead(ctx context.Context) error {
+	return d.platform.Watch(ctx, store.Watcher{
+		Key:         d.policyKey(),
+		Interval:    scale(d.cfg.PolicyDelay, confirmRatio),
+		Keep:        d.isWatcher,
+		OnItem:      func(item store.Item, at time.Time) { d.applyHead(ctx, item, at) },
+		OnUnchanged: func(at time.Time) { d.confirmPolicy(d.policyHolder.Revision(), at) },
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -155,7 +155,7 @@
 	if err := d.loadPolicy(); err != nil {
 		return nil, err
 	}
-	d.confirmed = fresh.New(fresh.Config{MaxAge: maxPolicyAge, Revision: d.policyHolder.Revision, Now: time.Now, Log: log})
+	d.confirmed = fresh.New(fresh.Config{MaxAge: scale(cfg.PolicyDelay, policyAgeRatio), Revision: d.policyHolder.Revision, Now: time.Now, Log: log})
 	d.openPlatform()
 	return d, d.listen()
 }
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -165,6 +165,8 @@
 	// partitioned is true while the instance cannot reach the store. It can still reach everything else.
 	partitioned atomic.Bool
 	storeAddr   netip.AddrPort
+	// storeCalls counts the calls to the store.
+	storeCalls atomic.Int64
 }
 
 func newHTTPCluster(t *testing.T) *httpCluster {
@@ -227,6 +229,7 @@
 		if n.partitioned.Load() {
 			panic(http.ErrAbortHandler)
 		}
+		n.storeCalls.Add(1)
 		before := s.silence.Load()
 		response := httptest.NewRecorder()
 		storeHandler.ServeHTTP(response, r)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -23,13 +23,10 @@
 const (
 	// seedsPerZone is the number of daemons per zone that have a seed record in the store.
 	seedsPerZone = 3
-	// watchersPerZone is the number of daemons per zone that watch the policy head. minWatchers is the minimum number
-	// of watchers in the cluster.
+	// watchersPerZone is the minimum number of daemons per zone that watch the policy head. minWatchers is the minimum
+	// number of watchers in the cluster.
 	watchersPerZone = 2
 	minWatchers     = 3
-	// headPollRate is the number of reads of the policy head per second by all other daemons together. It covers the
-	// case in which all watchers are partitioned from the store.
-	headPollRate = 1.0
 	// maxSeeds bounds the seeds contacted in one join attempt.
 	maxSeeds = 8
 	// maxJoinMembers bounds the known members contacted in one join attempt, in addition to the seeds.
@@ -57,6 +54,8 @@
 		ProbeInterval:   d.cfg.ProbeInterval,
 		Now:             time.Now,
 		Revision:        d.policyHolder.Revision,
+		PolicyAge:       d.confirmed.Age,
+		OnConfirmed:     d.policyConfirmed,
 		OnNewerRevision: d.requestPull,
 		OnPoison:        d.quarantine.Merge,
 		OnChange:        d.routesChanged,
@@ -282,30 +281,6 @@
 	return fmt.Sprintf("write seed record %s: not swapped, lease expired: %t", e.Key, e.LeaseExpired)
 }
 
-// isWatcher reports whether this daemon watches the policy head: the first
-// watchersPerZone daemons of each zone do, or more if there are so few zones
-// that the cluster would have less than minWatchers.
-func (d *Daemon) isWatcher() bool {
-	zones := map[string]bool{d.cfg.Zone: true}
-	d.node.Count(func(e *sycapb.MemberEntry) bool {
-		if e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && !e.Leaving && e.Region == d.cfg.Region {
-			zones[e.Zone] = true
-		}
-		return false
-	})
-	return d.zoneRank() < max(watchersPerZone, (minWatchers+len(zones)-1)/len(zones))
-}
-
-// shouldPollHead reports whether this daemon should read the policy head now. It
-// is called once per watcherCheckInterval. The choice is random, since a
-// partition may cut off exactly the daemons that watch.
-func (d *Daemon) shouldPollHead() bool {
-	live := d.node.Count(func(e *sycapb.MemberEntry) bool {
-		return e.State == sycapb.MemberState_MEMBER_STATE_ALIVE && e.Region == d.cfg.Region
-	})
-	return rand.Float64() < headPollRate*watcherCheckInterval.Seconds()/float64(live+1)
-}
-
 func isDialError(err error) bool {
 	var dial *server.DialError
 	return errors.As(err, &dial)
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -127,7 +127,8 @@
 	}
 	rev, err := d.registry.Accept(ctx, id)
 	if err == nil {
-		d.readHead(ctx)
+		// An error was logged; the change is in force at the latest when the watchers see it.
+		_ = d.readHead(ctx)
 	}
 	return rev, err
 }
@@ -354,7 +355,7 @@
 		"actions.held":     float64(d.actions.Len()),
 		"peer.dials":       float64(d.peers.Dials()),
 	}
-	if age, ok := d.confirmed.Age(); ok {
+	if age, ok := d.confirmed.Age(d.policyHolder.Revision()); ok {
 		values["policy.confirmed_ms"] = float64(age.Milliseconds())
 	}
 	if d.platform != nil {
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"os"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/store"
@@ -26,11 +28,6 @@
 	watcherCheckInterval = time.Second
 	// pullTimeout bounds one policy pull from a peer.
 	pullTimeout = time.Second
-	// maxPolicyAge is the age from which a confirmation that the policy is the newest is missed.
-	maxPolicyAge = 1200 * time.Millisecond
-
-	// sourcePlatform is the source of a policy that this daemon read from the store.
-	sourcePlatform = "platform"
 )
 
 // pullSource is a peer that has a newer policy, with its revision.
@@ -86,6 +83,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	start := time.Now()
 	r, err := d.peers.Pull(ctx, src.addr, &sycapb.PullRequest{Have: have})
 	if err != nil || r.Revision <= have {
 		d.log.WithFields(logrus.Fields{"peer": src.addr, "err": err}).Debug("pull from peer returned no newer policy")
@@ -97,6 +95,9 @@
 		return
 	}
 	d.applyPolicy(p, src.addr.String())
+	if r.AgeMs != nil {
+		d.policyConfirmed(src.addr, p.Revision, start.Add(-time.Duration(*r.AgeMs)*time.Millisecond))
+	}
 }
 
 // decodePulled decodes the policy that a peer sent.
@@ -123,35 +124,23 @@
 	if p == nil || p.Revision <= req.Have {
 		return &sycapb.PullReply{Revision: d.policyHolder.Revision()}
 	}
-	return &sycapb.PullReply{Revision: p.Revision, ChangeId: p.ChangeID, Text: p.Text}
+	r := &sycapb.PullReply{Revision: p.Revision, ChangeId: p.ChangeID, Text: p.Text}
+	if age, ok := d.confirmed.Age(p.Revision); ok {
+		r.AgeMs = proto.Uint32(uint32(min(math.MaxUint32, age/time.Millisecond+1)))
+	}
+	return r
 }
 
-// watchLoop watches the policy head while this daemon is a watcher. Otherwise it
-// reads the head when no member has sent a policy within peerPolicyTimeout, and
-// at random times in case the watchers are partitioned from the store.
+// watchLoop watches the policy head while this daemon is a watcher.
 func (d *Daemon) watchLoop(ctx context.Context) error {
-	if d.platform == nil {
+	if d.platform == nil || !d.awaitPeerPolicy(ctx) {
 		return nil
 	}
-	start := time.Now()
-	wait := peerPolicyTimeout
-	if d.cfg.Bootstrap {
-		wait = firstPeerPolicyTimeout
-	}
-	for !d.joined.Load() && time.Since(start) < wait && sleep(ctx, policyCheckInterval) {
-	}
 	for {
+		pause := watcherCheckInterval
 		if d.joined.Load() && d.isWatcher() {
 			err := d.watchHead(ctx)
 			d.log.WithField("err", err).Info("watch ended")
-		} else if d.policyHolder.Policy() == nil && time.Since(start) >= wait || d.policyHolder.Policy() != nil && d.shouldPollHead() {
-			d.readHead(ctx)
-		}
-		pause := watcherCheckInterval
-		switch {
-		case d.policyHolder.Policy() == nil && time.Since(start) < wait:
-			pause = policyCheckInterval
-		case d.policyHolder.Policy() == nil || d.isWatcher():
 			pause = watchRetryDelay
 		}
 		if !sleep(ctx, pause) {
@@ -160,25 +149,16 @@
 	}
 }
 
-// watchHead applies each version of the policy head until the watch breaks or
-// this daemon is no longer a watcher.
-func (d *Daemon) watchHead(ctx context.Context) error {
-	return d.platform.Watch(ctx, store.Watcher{
-		Key:         d.policyKey(),
-		Keep:        d.isWatcher,
-		OnItem:      func(item store.Item, at time.Time) { d.applyHead(ctx, item, at) },
-		OnUnchanged: func(at time.Time) { d.confirmed.Confirm(d.policyHolder.Revision(), at, sourcePlatform) },
-	})
-}
-
-func (d *Daemon) readHead(ctx context.Context) {
+// readHead reads and applies the policy head.
+func (d *Daemon) readHead(ctx context.Context) error {
 	start := time.Now()
 	item, err := d.platform.Get(ctx, d.policyKey())
 	if err != nil {
 		d.log.WithField("err", err).Warn("read policy head failed")
-		return
+		return err
 	}
 	d.applyHead(ctx, item, start)
+	return nil
 }
 
 // applyHead loads and applies the policy that the head names if it is newer than
@@ -201,14 +181,14 @@
 		return
 	}
 	if head.Revision == have {
-		d.confirmed.Confirm(have, at, sourcePlatform)
+		d.confirmPolicy(have, at)
 		return
 	}
 	for head.Revision > d.policyHolder.Revision() {
 		p, err := d.registry.Load(ctx, head)
 		if err == nil {
 			d.applyPolicy(p, sourcePlatform)
-			d.confirmed.Confirm(p.Revision, at, sourcePlatform)
+			d.confirmPolicy(p.Revision, at)
 			return
 		}
 		d.log.WithField("err", err).Warn("load policy failed")
@@ -234,16 +214,5 @@
 		return
 	}
 	d.applyPolicy(p, sourcePlatform)
-	d.confirmed.Confirm(p.Revision, at, sourcePlatform)
-}
-
-// confirmLoop logs when the policy in force has not been confirmed within
-// maxPolicyAge.
-func (d *Daemon) confirmLoop(ctx context.Context) error {
-	for sleep(ctx, max(policyCheckInterval, d.confirmed.Remaining())) {
-		if d.confirmed.Remaining() == 0 && d.joined.Load() {
-			d.confirmed.ReportLost(nil)
-		}
-	}
-	return nil
+	d.confirmPolicy(p.Revision, at)
 }
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -91,18 +91,17 @@
 	return delay
 }
 
-// Age returns the time since the policy in force was last confirmed. It returns
-// false if it never was.
-func (t *Tracker) Age() (time.Duration, bool) {
-	current := t.Revision()
+// Age returns the time since a revision was last confirmed. It returns false if
+// it never was, or if a confirmation of another revision followed.
+func (t *Tracker) Age(revision uint64) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.age(current)
+	return t.age(revision)
 }
 
 // age implements Age. The caller must hold t.mu.
-func (t *Tracker) age(current uint64) (time.Duration, bool) {
-	if current == 0 || t.revision != current {
+func (t *Tracker) age(revision uint64) (time.Duration, bool) {
+	if revision == 0 || t.revision != revision {
 		return 0, false
 	}
 	return max(0, t.Now().Sub(t.at)), true
@@ -111,7 +110,7 @@
 // Remaining returns the time until the confirmation reaches the maximum age, 0
 // if it has.
 func (t *Tracker) Remaining() time.Duration {
-	age, ok := t.Age()
+	age, ok := t.Age(t.Revision())
 	if !ok {
 		return 0
 	}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"math/bits"
 	"math/rand/v2"
 	"net/netip"
@@ -203,6 +204,11 @@
 	p.From = n.self.Id
 	p.FromAddr = n.self.Addr
 	p.PolicyRevision = n.cfg.Revision()
+	if n.cfg.PolicyAge != nil {
+		if age, ok := n.cfg.PolicyAge(p.PolicyRevision); ok {
+			p.PolicyAgeMs = proto.Uint32(uint32(min(math.MaxUint32, age/time.Millisecond+1)))
+		}
+	}
 	if n.revisionSends > 0 {
 		n.revisionSends--
 	}
@@ -276,6 +282,10 @@
 			n.cfg.OnPoison(e)
 		}
 	}
+	if n.cfg.OnConfirmed != nil && p.PolicyAgeMs != nil {
+		age := time.Duration(*p.PolicyAgeMs) * time.Millisecond
+		n.cfg.OnConfirmed(from, p.PolicyRevision, n.cfg.Now().Add(-age))
+	}
 	if n.cfg.OnNewerRevision != nil && p.PolicyRevision > n.cfg.Revision() {
 		n.cfg.OnNewerRevision(from, p.PolicyRevision)
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -67,6 +67,12 @@
 	Now           func() time.Time
 	// Revision returns the policy revision in force at this daemon.
 	Revision func() uint64
+	// PolicyAge returns the time since a revision was last known to be the newest one, and false if
+	// that is not known. It may be nil.
+	PolicyAge func(revision uint64) (time.Duration, bool)
+	// OnConfirmed is called when a packet from addr shows that a revision was the newest one at a time.
+	// It may be nil.
+	OnConfirmed func(addr netip.AddrPort, revision uint64, at time.Time)
 	// OnNewerRevision is called when a packet shows that addr has a higher policy revision.
 	OnNewerRevision func(addr netip.AddrPort, revision uint64)
 	// OnPoison is called with each poison entry received.
@@ -237,6 +243,13 @@
 	n.gossip()
 }
 
+// SendRevision sends the policy revision in force and its age to members.
+func (n *Node) SendRevision(to []netip.AddrPort) {
+	for _, addr := range to {
+		n.sendWith(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP}, n.fillSender)
+	}
+}
+
 // AnnouncePoison gossips a changed poison entry.
 func (n *Node) AnnouncePoison(e *sycapb.PoisonEntry) {
 	n.mu.Lock()
--- a/store/item.go
+++ b/store/item.go
@@ -71,4 +71,6 @@
 	Grant func(ctx context.Context, ttl time.Duration) (uint64, error)
 	// Renew extends a lease; it returns false if the lease has expired.
 	Renew func(ctx context.Context, lease uint64) (bool, error)
+	// CloseIdle closes the idle connections, which may have gone silent. It may be nil.
+	CloseIdle func()
 }
--- a/store/store.go
+++ b/store/store.go
@@ -27,12 +27,10 @@
 const (
 	// callTimeout is the timeout of one call.
 	callTimeout = 2 * time.Second
-	// watchTimeout is how long a watch waits for a change. A watch whose connection broke
-	// silently is detected after watchTimeout and watchGracePeriod, within the 2 s plus
-	// extension in which a new configuration must be active.
-	watchTimeout = 2 * time.Second
-	// watchGracePeriod is how long after watchTimeout the response of a watch may arrive.
+	// watchGracePeriod is how long after its wait the response of a watch may arrive.
 	watchGracePeriod = time.Second
+	// minWaitRatio is the shortest wait of a watch call, as a ratio of Watcher.Interval.
+	minWaitRatio = 0.25
 	// maxPages is the maximum number of pages of a list.
 	maxPages = 50
 	// burstWindow sizes the token buckets: a burst may use up the calls of this time.
@@ -172,10 +170,20 @@
 	return list, nil
 }
 
-// Watcher observes one key. Both times passed to its functions are of before the
-// response was sent, at which the last item was the newest.
+// CloseIdle closes the idle connections to the platform, which may have gone
+// silent.
+func (c *Client) CloseIdle() {
+	if c.transport.CloseIdle != nil {
+		c.transport.CloseIdle()
+	}
+}
+
+// Watcher observes one key. The times passed to its functions are times at which
+// the last item was the newest one.
 type Watcher struct {
 	Key string
+	// Interval is the longest time between two of these times while the platform responds.
+	Interval time.Duration
 	// Keep is called before each watch call; the watch ends if it returns false.
 	Keep func() bool
 	// OnItem is called with the current item and then with the item after each observed change. It
@@ -187,16 +195,17 @@
 
 // Watch observes the key of w until ctx ends, a call fails, or Keep returns false.
 func (c *Client) Watch(ctx context.Context, w Watcher) error {
-	start := time.Now()
+	current := time.Now()
 	item, err := c.Get(ctx, w.Key)
 	if err != nil {
 		return err
 	}
-	w.OnItem(item, start)
+	w.OnItem(item, current)
 	after := item.Revision
 	for ctx.Err() == nil && w.Keep() {
-		start = time.Now()
-		events, next, err := c.watchOnce(ctx, w.Key, after)
+		start := time.Now()
+		wait := max(time.Duration(minWaitRatio*float64(w.Interval)), w.Interval-start.Sub(current)).Round(time.Millisecond)
+		events, next, err := c.watchOnce(ctx, w.Key, after, wait)
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
 			return c.Watch(ctx, w)
@@ -204,8 +213,13 @@
 		if err != nil {
 			return err
 		}
+		current = start
 		if !w.report(events, start) {
-			w.OnUnchanged(start)
+			if time.Since(start) >= wait {
+				// The platform has waited for a change.
+				current = start.Add(wait)
+			}
+			w.OnUnchanged(current)
 		}
 		after = max(after, next)
 	}
@@ -226,14 +240,14 @@
 }
 
 // watchOnce makes one watch call.
-func (c *Client) watchOnce(ctx context.Context, key string, after uint64) ([]Event, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchGracePeriod)
+func (c *Client) watchOnce(ctx context.Context, key string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGracePeriod)
 	defer cancel()
 	if err := c.readLimit.Wait(ctx); err != nil {
 		return nil, 0, &UnavailableError{Op: "watch", Key: key, Err: err}
 	}
 	c.watches.Add(1)
-	events, next, err := c.transport.Watch(ctx, key, after, watchTimeout)
+	events, next, err := c.transport.Watch(ctx, key, after, wait)
 	if err != nil {
 		return nil, 0, &UnavailableError{Op: "watch", Key: key, Err: err}
 	}
