store: a watch reads the key again if it may have missed a change

Callers got answers of an older version until another daemon read the store: a watch that returned without an event, but past the revision of a change, went on from there.

Cause: Watch took a response without events for 'no change'. Also, it started from the revision of the item in place of that of the store, so that after a compaction each watch of an item that had not changed failed at once and was followed by a read, up to the read rate of the daemon.

A response that moves past the last known revision without an event of the key is followed by a read, which is linearizable.

--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -74,7 +74,9 @@
 				return store.Item{}, err
 			}
 			defer s.mu.Unlock()
-			return s.items[key], nil
+			it := s.items[key]
+			it.StoreRevision = s.revision
+			return it, nil
 		},
 		Range: func(_ context.Context, prefix, _ string, _ bool) (store.Page, error) {
 			if err := s.lockAvailable(); err != nil {
--- a/stand/store.go
+++ b/stand/store.go
@@ -142,7 +142,9 @@
 	}
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	return s.item(key), nil
+	it := s.item(key)
+	it.StoreRevision = s.revision
+	return it, nil
 }
 
 func (s *fakeStore) write(ctx context.Context, c store.ConditionalWrite) (store.WriteResult, error) {
--- a/store/item.go
+++ b/store/item.go
@@ -13,6 +13,8 @@
 	Revision uint64
 	// Lease is the lease with which the item expires; 0 for none.
 	Lease uint64
+	// StoreRevision is the revision of the store when the item was read by its key, 0 if it was not.
+	StoreRevision uint64
 }
 
 // Event is one change of a key.
--- a/store/store.go
+++ b/store/store.go
@@ -195,26 +195,44 @@
 
 // Watch observes the key of w until ctx ends, a call fails, or Keep returns false.
 func (c *Client) Watch(ctx context.Context, w Watcher) error {
-	current := time.Now()
-	item, err := c.Get(ctx, w.Key)
-	if err != nil {
-		return err
+	for {
+		current := time.Now()
+		item, err := c.Get(ctx, w.Key)
+		if err != nil {
+			return err
+		}
+		w.OnItem(item, current)
+		complete, err := c.watchFrom(ctx, w, max(item.Revision, item.StoreRevision), current)
+		if complete || err != nil {
+			return err
+		}
+		if item.StoreRevision == 0 {
+			// The changes after the item's revision may be compacted, so the next watch may fail too.
+			sleep(ctx, scale(w.Interval, minWaitRatio))
+		}
 	}
-	w.OnItem(item, current)
-	after := item.Revision
+}
+
+// watchFrom observes changes after a revision. The last item was the newest one at
+// the time current. watchFrom returns false if it may have missed changes.
+func (c *Client) watchFrom(ctx context.Context, w Watcher, after uint64, current time.Time) (complete bool, err error) {
 	for ctx.Err() == nil && w.Keep() {
 		start := time.Now()
-		wait := max(time.Duration(minWaitRatio*float64(w.Interval)), w.Interval-start.Sub(current)).Round(time.Millisecond)
+		wait := max(scale(w.Interval, minWaitRatio), w.Interval-start.Sub(current)).Round(time.Millisecond)
 		events, next, err := c.watchOnce(ctx, w.Key, after, wait)
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
-			return c.Watch(ctx, w)
+			return false, nil
 		}
 		if err != nil {
-			return err
+			return false, err
 		}
 		current = start
 		if !w.report(events, start) {
+			if next > after {
+				// The change is of another key, or the watch has skipped it.
+				return false, nil
+			}
 			if time.Since(start) >= wait {
 				// The platform has waited for a change.
 				current = start.Add(wait)
@@ -223,7 +241,21 @@
 		}
 		after = max(after, next)
 	}
-	return ctx.Err()
+	return true, ctx.Err()
+}
+
+func scale(d time.Duration, ratio float64) time.Duration {
+	return time.Duration(ratio * float64(d))
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // report calls OnItem with the changes of the key and reports whether there are
