daemon: further sources of a policy are asked while one does not respond

Callers got answers of an older version: a daemon pulled a newer one from one peer at a time, for up to 1 s each, and dropped all other announcements meanwhile. Two peers in a row that are frozen, cut off or just killed cost 2 s, as long as a version may take.

Announcements are remembered, in their order. If a pull takes longer than 100 ms, the next source is asked beside it, up to four at once. A failed pull is logged as a warning with the time that it took.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,7 +114,7 @@
 	joined       atomic.Bool
 	inflight     atomic.Int64
 	routesStale  chan struct{}
-	pulls        chan pullSource
+	puller       *puller
 	udpSocket    *net.UDPConn
 	drpcListener net.Listener
 	httpListener net.Listener
@@ -145,7 +145,6 @@
 		dependencies: newDependencySet(),
 		suspectSem:   make(chan struct{}, 1),
 		routesStale:  make(chan struct{}, 1),
-		pulls:        make(chan pullSource, 1),
 	}
 	d.guard = guard.New(log, d.stats.Panic)
 	monotonic := func() time.Duration { return time.Since(started) }
@@ -155,6 +154,7 @@
 	if err := d.loadPolicy(); err != nil {
 		return nil, err
 	}
+	d.puller = newPuller(d.policyHolder.Revision, d.pullGuarded)
 	d.confirmed = fresh.New(fresh.Config{MaxAge: scale(cfg.PolicyDelay, policyAgeRatio), Revision: d.policyHolder.Revision, Now: time.Now, Log: log})
 	d.openPlatform()
 	return d, d.listen()
@@ -226,7 +226,7 @@
 		g.Go(func() error { return d.guard.Loop(inner, "confirm", d.confirmLoop) })
 	}
 	g.Go(func() error { return d.guard.Loop(inner, "watch", d.watchLoop) })
-	g.Go(func() error { return d.guard.Loop(inner, "pull", d.pullLoop) })
+	g.Go(func() error { return d.guard.Loop(inner, "pull", d.puller.run) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"math"
-	"net/netip"
 	"os"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/store"
-	"sycamorespread.dev/sycapb"
 )
 
 const (
@@ -26,16 +22,8 @@
 	policyCheckInterval = 50 * time.Millisecond
 	// watcherCheckInterval is the time between two checks whether this daemon has become a watcher.
 	watcherCheckInterval = time.Second
-	// pullTimeout bounds one policy pull from a peer.
-	pullTimeout = time.Second
 )
 
-// pullSource is a peer that has a newer policy, with its revision.
-type pullSource struct {
-	addr     netip.AddrPort
-	revision uint64
-}
-
 func readPolicy(file string) (*policy.Policy, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
@@ -54,60 +42,6 @@
 	d.node.AnnounceRevision()
 }
 
-// requestPull schedules a pull from a peer that has a newer policy. It does
-// nothing if a pull is pending.
-func (d *Daemon) requestPull(addr netip.AddrPort, revision uint64) {
-	d.confirmed.Announce(revision)
-	select {
-	case d.pulls <- pullSource{addr: addr, revision: revision}:
-	default:
-	}
-}
-
-// pullLoop pulls newer policies from peers.
-func (d *Daemon) pullLoop(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case p := <-d.pulls:
-			d.pullFrom(ctx, p)
-		}
-	}
-}
-
-func (d *Daemon) pullFrom(ctx context.Context, src pullSource) {
-	have := d.policyHolder.Revision()
-	if src.revision <= have {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	start := time.Now()
-	r, err := d.peers.Pull(ctx, src.addr, &sycapb.PullRequest{Have: have})
-	if err != nil || r.Revision <= have {
-		d.log.WithFields(logrus.Fields{"peer": src.addr, "err": err}).Debug("pull from peer returned no newer policy")
-		return
-	}
-	p, err := d.decodePulled(r)
-	if err != nil {
-		d.log.WithFields(logrus.Fields{"peer": src.addr, "err": err}).Error("policy pulled from peer is invalid")
-		return
-	}
-	d.applyPolicy(p, src.addr.String())
-	if r.AgeMs != nil {
-		d.policyConfirmed(src.addr, p.Revision, start.Add(-time.Duration(*r.AgeMs)*time.Millisecond))
-	}
-}
-
-// decodePulled decodes the policy that a peer sent.
-func (d *Daemon) decodePulled(r *sycapb.PullReply) (*policy.Policy, error) {
-	if d.front != nil {
-		return d.adapter.DecodePolicy(r.Text)
-	}
-	return policy.ParseAccepted(r.Revision, r.ChangeId, r.Text)
-}
-
 // policyKey returns the store key that determines the policy in force: the
 // policy head, or with the HTTP interface the operator's policy itself.
 func (d *Daemon) policyKey() string {
@@ -117,20 +51,6 @@
 	return policy.HeadKey
 }
 
-// answerPull replies to the pull of a peer, with the policy if it is newer than
-// the peer's.
-func (d *Daemon) answerPull(req *sycapb.PullRequest) *sycapb.PullReply {
-	p := d.policyHolder.Policy()
-	if p == nil || p.Revision <= req.Have {
-		return &sycapb.PullReply{Revision: d.policyHolder.Revision()}
-	}
-	r := &sycapb.PullReply{Revision: p.Revision, ChangeId: p.ChangeID, Text: p.Text}
-	if age, ok := d.confirmed.Age(p.Revision); ok {
-		r.AgeMs = proto.Uint32(uint32(min(math.MaxUint32, age/time.Millisecond+1)))
-	}
-	return r
-}
-
 // watchLoop watches the policy head while this daemon is a watcher.
 func (d *Daemon) watchLoop(ctx context.Context) error {
 	if d.platform == nil || !d.awaitPeerPolicy(ctx) {
