admit, front: a backend server gets no more than the limit that it names

Cause: the header was forwarded to the caller and not read. The gate in front of a server knew slots, but no rate.

The only client of a server is the daemon beside it, so the limit is kept there: a token bucket with a burst of 0.1 s in front of the run. The queue behind it is ordered by importance as before; capacity, level and reported load follow the limit, so that entries choose other servers or shed early. The limit ends with three responses in a row without it, or one a second after the last with it. A limit of 0 still lets one request pass in 2 s, since only a response can end it. An invalid one is logged once and changes nothing.

A daemon that restarts forgets the limit, the daemons that it told do not: they send it with their requests until the new process has a response of its own.

Evidence: TestServerGetsMoreThanTheLimitItNames without the limit: 800 requests in 4 s, 125 allowed.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -152,6 +152,7 @@
 	runTimes     map[string]time.Duration
 	lastDecrease time.Time
 	control      levelController
+	rate         rateLimit
 }
 
 // New returns a Gate for a cold backend server.
@@ -314,7 +315,7 @@
 
 // dispatch admits queued calls while the limit allows it.
 func (g *Gate) dispatch(now time.Time) {
-	for g.queue.len() > 0 && g.inflight < g.limit(now) {
+	for g.queue.len() > 0 && g.inflight < g.limit(now) && g.rate.allows(now) {
 		w := g.queue.popFirst()
 		if err := g.checkDeadline(w, now); err != nil {
 			w.decision <- err
@@ -323,6 +324,7 @@
 		g.seq++
 		g.lastAdmitted[w.queueKey.Rank()] = g.seq
 		g.inflight++
+		g.rate.take()
 		w.decision <- nil
 	}
 }
@@ -390,13 +392,22 @@
 	return max(1, int(g.adaptiveLimit*ramp))
 }
 
-// capacity returns the rate of calls per second that the backend server can complete or reject, or
-// 0 before the first run.
+// capacity returns the rate of calls per second that the backend server can complete or reject
+// within its rate limit. Without a rate limit it is 0 before the first run.
 func (g *Gate) capacity(now time.Time) float64 {
 	if g.meanRunTime <= 0 {
-		return 0
+		return g.rate.perSecond
 	}
-	return float64(g.limit(now)) / g.meanRunTime.Seconds() / max(minAcceptRatio, g.acceptRatio)
+	capacity := float64(g.limit(now)) / g.meanRunTime.Seconds() / max(minAcceptRatio, g.acceptRatio)
+	if g.rate.perSecond > 0 {
+		return min(capacity, g.rate.perSecond)
+	}
+	return capacity
+}
+
+// usableLimit returns the number of calls that can be in flight at the limit and the rate limit.
+func (g *Gate) usableLimit(now time.Time) int {
+	return g.rate.concurrency(g.limit(now), g.meanRunTime)
 }
 
 func (g *Gate) maxQueueLen() int {
@@ -437,5 +448,5 @@
 func (g *Gate) Stats() Stats {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Stats{Inflight: g.inflight, Queued: g.queue.len(), Limit: g.limit(g.cfg.Now())}
+	return Stats{Inflight: g.inflight, Queued: g.queue.len(), Limit: g.usableLimit(g.cfg.Now())}
 }
--- a/admit/control.go
+++ b/admit/control.go
@@ -166,10 +166,11 @@
 		return
 	}
 	now := g.cfg.Now()
+	g.dispatch(now)
 	g.shedTimedOut(now)
 	c := &g.control
 	c.updateDemand()
-	limit := float64(g.limit(now))
+	limit := float64(g.usableLimit(now))
 	c.meanIdle += idleWeight * (max(0, 1-float64(g.inflight)/limit) - c.meanIdle)
 	capacity := g.capacity(now)
 	if capacity == 0 {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -236,6 +236,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	resp, err := d.serverPool.Do(ctx, d.cfg.ServerAddr, &httpc.Request{Method: http.MethodGet, Target: s.HealthPath, Host: d.cfg.ServerAddr.String(), MaxBuffer: maxHeaderBytes})
 	if err != nil {
 		d.log.WithField("err", err).Info("health check of backend server failed")
@@ -250,6 +251,7 @@
 		return
 	}
 	d.serverTracker.HandleProbe(id, d.cfg.Service, slots)
+	d.front.ObserveServer(d.serverTracker.Server(), resp.Header, sentAt)
 }
 
 // closeFront shuts down all HTTP servers gracefully: a request may have arrived
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -167,6 +167,10 @@
 	// partitioned is true while the instance cannot reach the store. It can still reach everything else.
 	partitioned atomic.Bool
 	storeAddr   netip.AddrPort
+	// limit is the limit that the server names in its responses, empty for none.
+	limit atomic.Pointer[string]
+	mu    sync.Mutex
+	ranAt []time.Time
 	// storeCalls counts the calls to the store.
 	storeCalls atomic.Int64
 }
@@ -255,12 +259,18 @@
 func (n *httpNode) handle(w http.ResponseWriter, r *http.Request) {
 	h := platform.Headers()
 	w.Header().Set(h.Instance, "i-"+n.id)
+	if limit := n.limit.Load(); limit != nil && *limit != "" {
+		w.Header().Set(h.Limit, *limit)
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set(h.Load, "0,0,4")
 		return
 	}
 	n.runs.Add(1)
 	n.ranIDs.Store(r.Header.Get(h.RequestID), true)
+	n.mu.Lock()
+	n.ranAt = append(n.ranAt, time.Now())
+	n.mu.Unlock()
 	time.Sleep(time.Duration(n.delay.Load()))
 	w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
 	w.Header().Set(h.Signature, "sig")
@@ -305,8 +315,12 @@
 }
 
 func (n *httpNode) heartbeat(sequence int64, slots int, draining bool) int {
+	return n.heartbeatOf(time.UnixMilli(1000), sequence, slots, draining)
+}
+
+func (n *httpNode) heartbeatOf(startedAt time.Time, sequence int64, slots int, draining bool) int {
 	status, err := platform.SendHeartbeat(context.Background(), http.DefaultClient, netip.MustParseAddrPort(n.controlAddr), life.Report{
-		Instance: "i-" + n.id, StartedAt: time.UnixMilli(1000), Sequence: sequence, Addr: netip.MustParseAddrPort(n.serverAddr),
+		Instance: "i-" + n.id, StartedAt: startedAt, Sequence: sequence, Addr: netip.MustParseAddrPort(n.serverAddr),
 		Service: n.service, Zone: "z", Slots: slots, Draining: draining,
 	})
 	if err != nil {
--- /dev/null
+++ b/daemon/notice_test.go
@@ -0,0 +1,117 @@
+package daemon_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// offerLoad sends requests from callers beside n, with a pause after each, until the returned
+// function is called.
+func offerLoad(n *httpNode, callers int, pause time.Duration) (stop func()) {
+	var g errgroup.Group
+	var stopped atomic.Bool
+	for k := range callers {
+		g.Go(func() error {
+			for i := 0; !stopped.Load(); i++ {
+				n.request(fmt.Sprintf("load-%d-%d", k, i))
+				time.Sleep(pause)
+			}
+			return nil
+		})
+	}
+	return func() {
+		stopped.Store(true)
+		_ = g.Wait()
+	}
+}
+
+// mostRuns returns the largest number of runs within a span that begins after a time.
+func (n *httpNode) mostRuns(span time.Duration, after time.Time) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	most := 0
+	for i, first := range n.ranAt {
+		if first.Before(after) {
+			continue
+		}
+		count := 0
+		for _, at := range n.ranAt[i:] {
+			if at.Sub(first) <= span {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+func TestServerGetsMoreThanTheLimitItNames(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	if got := two.heartbeat(1, 60, false); got != 200 {
+		t.Fatalf("heartbeat: status %d", got)
+	}
+	two.delay.Store(int64(50 * time.Millisecond))
+	stop := offerLoad(one, 40, 150*time.Millisecond)
+	defer stop()
+	time.Sleep(500 * time.Millisecond)
+	limit, none := "20", ""
+	two.limit.Store(&limit)
+	time.Sleep(500 * time.Millisecond)
+	after := time.Now()
+	time.Sleep(2 * time.Second)
+	// The daemon forgets what the server said; the daemons that it told do not.
+	two.restart()
+	s.eventually(5*time.Second, "heartbeat", func() bool { return two.heartbeat(2, 60, false) == 200 })
+	time.Sleep(3 * time.Second)
+	// The users allow one and a half times the limit, and 5 requests, in 4 s.
+	const span, allowed = 4 * time.Second, 20*4*3/2 + 5
+	if got := two.mostRuns(span, after); got > allowed {
+		t.Errorf("%d requests in %s, allowed %d", got, span, allowed)
+	}
+	if got := two.mostRuns(time.Second, after); got < 15 {
+		t.Errorf("%d requests in a second at a limit of 20", got)
+	}
+	two.limit.Store(&none)
+	s.eventually(5*time.Second, "unlimited", func() bool { return two.mostRuns(time.Second, time.Now().Add(-time.Second)) > 100 })
+}
+
+func TestInvalidLimitIsIgnored(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	for _, limit := range []string{"", "many", "-3", "NaN", "+Inf", "1e999", "20, 30"} {
+		two.limit.Store(&limit)
+		for i := range 20 {
+			if status, _, body := one.request(fmt.Sprintf("r-%q-%d", limit, i)); status != 200 {
+				t.Fatalf("limit %q: status %d %s", limit, status, body)
+			}
+		}
+	}
+}
+
+func TestServerThatTakesNothingStillGetsARequest(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	zero, none := "0", ""
+	two.limit.Store(&zero)
+	stop := offerLoad(one, 10, 5*time.Millisecond)
+	defer stop()
+	time.Sleep(time.Second)
+	after := time.Now()
+	time.Sleep(4500 * time.Millisecond)
+	if got := two.mostRuns(4*time.Second, after); got < 1 || got > 5 {
+		t.Errorf("%d requests in 4s, want 1 to 5", got)
+	}
+	two.limit.Store(&none)
+	s.eventually(8*time.Second, "unlimited", func() bool { return two.mostRuns(time.Second, time.Now().Add(-time.Second)) > 50 })
+}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -347,6 +347,7 @@
 		"gate.queued":      float64(s.Queued),
 		"gate.limit":       float64(s.Limit),
 		"gate.level":       float64(d.gate.Level()),
+		"gate.rate_limit":  d.gate.RateLimit(),
 		"members":          float64(d.node.Len() + 1),
 		"member.bytes_in":  float64(in),
 		"member.bytes_out": float64(out),
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -33,7 +33,7 @@
 
 var testHeaders = front.Headers{
 	RequestID: "T-Request", TimeLeft: "T-Left", Signature: "T-Signature", ExpectedInstance: "T-Expected",
-	Load: "T-Load", NotRun: "T-Not-Run", OriginService: "T-Origin", Instance: "T-Instance",
+	Load: "T-Load", NotRun: "T-Not-Run", OriginService: "T-Origin", Instance: "T-Instance", Limit: "T-Limit",
 }
 
 // fakeServer is a fake backend server. Its handler writes the raw bytes of each response.
@@ -335,3 +335,17 @@
 	b, err := io.ReadAll(resp.Body)
 	return result{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
 }
+
+// redirect makes source reach the instance with the ID, and no other, at an address.
+func (c *cluster) redirect(source *instance, id string, addr netip.AddrPort) {
+	for _, i := range c.instances {
+		if i.id == id {
+			source.table.Update([]route.Target{{ID: id, Addr: addr, Service: i.keeper.Server().Service, Zone: "z", Slots: c.slots}})
+		}
+	}
+}
+
+// newServerReport returns a report of a server with the ID beside an instance.
+func newServerReport(i *instance, id string, sequence int64) life.Report {
+	return life.Report{Instance: id, StartedAt: time.Unix(1000, 0), Sequence: sequence, Addr: i.addr(), Service: "plots", Slots: 8}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -58,6 +58,9 @@
 	OriginService string
 	// Instance is the ID of the backend server that responds.
 	Instance string
+	// Limit is the number of requests per second that the backend server takes at present from all
+	// instances together.
+	Limit string
 }
 
 // Config configures a Front.
@@ -112,13 +115,15 @@
 	monitor      *peerMonitor
 	routeLatency *routeLatency
 	levelCache   levelCache
+	notice       ownNotice
+	peerNotices  *peerNotices
 	// probes holds the probes of peers in flight.
 	probes errgroup.Group
 }
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, splitter: newSplitter(), dependencies: route.NewDependencies(), runs: newRuns(), monitor: newPeerMonitor(), routeLatency: newRouteLatency()}
+	return &Front{Config: cfg, splitter: newSplitter(), dependencies: route.NewDependencies(), runs: newRuns(), monitor: newPeerMonitor(), routeLatency: newRouteLatency(), peerNotices: newPeerNotices()}
 }
 
 // Inflight returns the number of requests in flight.
--- a/front/hop.go
+++ b/front/hop.go
@@ -36,13 +36,17 @@
 	}
 	pending := &pendingRequest{started: now, cancel: cancel, noRetry: !r.route.Idempotent}
 	f.monitor.begin(target.ID, pending)
-	resp, err := f.PeerPool.Do(ctx, target.Addr, r.hopRequest(now))
+	resp, err := f.PeerPool.Do(ctx, target.Addr, r.hopRequest(now, f.peerNotices.get(target.ID, now)))
 	f.monitor.end(target.ID, pending, err == nil, f.Now())
 	if err != nil {
 		defer stop()
 		return f.hopError(ctx, target.ID, err)
 	}
+	notice := resp.Header.Get(noticeHeader)
 	result := decodeHopResponse(resp.Status, resp.Header)
+	if err := f.peerNotices.update(target.ID, notice, result.outcome == answered, f.Now()); err != nil {
+		f.Log.WithFields(f.logFields(r)).WithField("err", err).Warn("invalid notice from another daemon")
+	}
 	result.body, result.stream, result.length = resp.Body, resp.Stream, resp.Length
 	result.close = func() {
 		resp.Close()
@@ -77,8 +81,9 @@
 	return unknownResponse(reasonLost)
 }
 
-// hopRequest returns the request to send to another Front.
-func (r *request) hopRequest(now time.Time) *httpc.Request {
+// hopRequest returns the request to send to another Front, with the notice of its backend server if
+// there is one.
+func (r *request) hopRequest(now time.Time, notice string) *httpc.Request {
 	req := &httpc.Request{
 		Method:    r.method,
 		Target:    r.target,
@@ -90,6 +95,9 @@
 		Length:    r.length,
 		MaxBuffer: maxBufferedResponse,
 	}
+	if notice != "" {
+		req.SetHeader = append(req.SetHeader, httpc.HeaderField{Name: noticeHeader, Value: notice})
+	}
 	if !r.route.Idempotent {
 		req.MaxIdleTime = maxIdleNonIdempotent
 	}
--- a/front/hopheader_test.go
+++ b/front/hopheader_test.go
@@ -12,12 +12,21 @@
 // the header of the response.
 func hopRequest(t *testing.T, i *instance, flags int) http.Header {
 	t.Helper()
+	return hopRequestWithNotice(t, i, flags, "")
+}
+
+// hopRequestWithNotice adds what the sender knows of the backend server of the instance.
+func hopRequestWithNotice(t *testing.T, i *instance, flags int, notice string) http.Header {
+	t.Helper()
+	if notice != "" {
+		notice = "Syca-Notice: " + notice + "\r\n"
+	}
 	c, err := net.Dial("tcp", i.inbound.String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	_, err = fmt.Fprintf(c, "GET /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r1\r\nSyca-Hop: plots|view|dues|0|1|1000000|0|%d\r\n\r\n", flags)
+	_, err = fmt.Fprintf(c, "GET /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r1\r\nSyca-Hop: plots|view|dues|0|1|1000000|0|%d\r\n%s\r\n", flags, notice)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -35,6 +35,7 @@
 		return
 	}
 	defer f.trackInflight()()
+	f.learnNotice(r.Header.Get(noticeHeader))
 	req, err := decodeHopRequest(r, f.Headers, f.Now())
 	if err != nil {
 		f.Log.WithField("err", err).Warn("invalid request from another daemon")
@@ -51,6 +52,7 @@
 	if req.senderRestoresID {
 		resp.header.Del(f.Headers.RequestID)
 	}
+	f.addNotice(w.Header())
 	resp.writeHop(w)
 }
 
@@ -102,6 +104,7 @@
 
 // admitAndRun waits for a permit of the gate and runs the request at the local backend server.
 func (f *Front) admitAndRun(ctx context.Context, r *request) *response {
+	f.syncNotice(f.Server())
 	if reason := f.rejectReason(r); reason != "" {
 		return notRunResponse(reason)
 	}
@@ -149,6 +152,7 @@
 	s := f.Server()
 	f.runs.add(r)
 	defer f.runs.remove(r)
+	sentAt := f.Now()
 	resp, err := f.ServerPool.Do(ctx, f.ServerAddr, f.serverRequest(r, s))
 	if err != nil {
 		return f.serverError(ctx, r, s, err)
@@ -156,6 +160,9 @@
 	h := resp.Header
 	id := h.Get(f.Headers.RequestID)
 	signed := h.Get(f.Headers.Signature) != ""
+	if id == r.id {
+		f.ObserveServer(s, h, sentAt)
+	}
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		resp.Close()
