front, daemon: a backend server that says that it leaves gets no more requests

Cause: the header was not read. The daemon beside the server knew of the shutdown by heartbeats only. After a restart of that daemon a heartbeat that came late, or a false health check, made the server ready again.

A response with the header, to a request or a health check, is now the same event for life as a heartbeat that says so; only a later start ends it. Entries remember it for a minute and tell the daemon beside the server with each request, so that one that has restarted sends nothing. Daemons of earlier versions ignore the header.

Evidence: TestServerThatSaysItLeavesGetsRequests fails without the header ('leaving: a request was served') and without the notice of the entries ('restarted daemon, late heartbeat: a request was served').

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -92,27 +92,28 @@
 	d.peerPool = httpc.New(httpc.Config{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdleConns: maxIdlePeerConns, CoreIdleConns: corePeerConns, ExcessIdleTimeout: excessIdleTimeout, Now: time.Now})
 	d.serverPool = httpc.New(httpc.Config{DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns, Now: time.Now})
 	d.front = front.New(front.Config{
-		Self:         d.cfg.ID,
-		Service:      d.cfg.Service,
-		ServerAddr:   d.cfg.ServerAddr,
-		Headers:      d.adapter.Headers,
-		Policy:       d.policyHolder.Policy,
-		Server:       d.serverTracker.Server,
-		OnServerDown: d.serverTracker.MarkDown,
-		Probe:        d.node.Reachable,
-		Stopping:     d.leaving.Load,
-		Closing:      d.closing.Load,
-		Table:        d.table,
-		Gate:         d.gate,
-		Budgets:      d.budgets,
-		Quarantine:   d.quarantine,
-		PeerPool:     d.peerPool,
-		ServerPool:   d.serverPool,
-		OnServed:     d.recordRoute,
-		Stats:        d.stats,
-		Guard:        d.guard,
-		Log:          d.log,
-		Now:          time.Now,
+		Self:            d.cfg.ID,
+		Service:         d.cfg.Service,
+		ServerAddr:      d.cfg.ServerAddr,
+		Headers:         d.adapter.Headers,
+		Policy:          d.policyHolder.Policy,
+		Server:          d.serverTracker.Server,
+		OnServerDown:    d.serverTracker.MarkDown,
+		OnServerLeaving: d.serverLeaving,
+		Probe:           d.node.Reachable,
+		Stopping:        d.leaving.Load,
+		Closing:         d.closing.Load,
+		Table:           d.table,
+		Gate:            d.gate,
+		Budgets:         d.budgets,
+		Quarantine:      d.quarantine,
+		PeerPool:        d.peerPool,
+		ServerPool:      d.serverPool,
+		OnServed:        d.recordRoute,
+		Stats:           d.stats,
+		Guard:           d.guard,
+		Log:             d.log,
+		Now:             time.Now,
 	})
 	for _, s := range d.newHTTPServers() {
 		l, err := net.Listen("tcp", s.Addr)
@@ -246,6 +247,10 @@
 	loadFields := strings.Split(resp.Header.Get(d.adapter.Headers.Load), ",")
 	slots, err := strconv.Atoi(loadFields[len(loadFields)-1])
 	id := resp.Header.Get(d.adapter.Headers.Instance)
+	if id != "" && resp.Header.Get(d.adapter.Headers.Leaving) != "" {
+		d.serverLeaving(id, time.Time{})
+		return
+	}
 	if resp.Status != http.StatusOK || id == "" || err != nil || slots < 1 {
 		d.log.WithFields(logrus.Fields{"status": resp.Status, "instance": id}).Info("health check response does not identify the backend server")
 		return
@@ -289,6 +294,13 @@
 	d.routesChanged()
 }
 
+// serverLeaving handles a response in which the backend server states that it is
+// leaving.
+func (d *Daemon) serverLeaving(id string, startedAt time.Time) {
+	d.log.WithFields(logrus.Fields{"instance": id, "known": d.serverTracker.Server().Instance}).Info("backend server responds that it is leaving")
+	d.serverTracker.MarkLeaving(id, startedAt)
+}
+
 func (d *Daemon) serverDeregistered(id string, startedAt time.Time) {
 	d.log.WithFields(logrus.Fields{"instance": id, "known": d.serverTracker.Server().Instance}).Info("backend server deregistered")
 	d.serverTracker.MarkLeaving(id, startedAt)
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -167,10 +167,12 @@
 	// partitioned is true while the instance cannot reach the store. It can still reach everything else.
 	partitioned atomic.Bool
 	storeAddr   netip.AddrPort
-	// limit is the limit that the server names in its responses, empty for none.
-	limit atomic.Pointer[string]
-	mu    sync.Mutex
-	ranAt []time.Time
+	// limit is the limit that the server names in its responses, empty for none. leaving and
+	// healthLeaving are set if it states in its responses, and in those to health checks, that it leaves.
+	limit                  atomic.Pointer[string]
+	leaving, healthLeaving atomic.Bool
+	mu                     sync.Mutex
+	ranAt                  []time.Time
 	// storeCalls counts the calls to the store.
 	storeCalls atomic.Int64
 }
@@ -262,6 +264,9 @@
 	if limit := n.limit.Load(); limit != nil && *limit != "" {
 		w.Header().Set(h.Limit, *limit)
 	}
+	if r.URL.Path == "/health" && n.healthLeaving.Load() || r.URL.Path != "/health" && n.leaving.Load() {
+		w.Header().Set(h.Leaving, "1")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set(h.Load, "0,0,4")
 		return
--- a/daemon/notice_test.go
+++ b/daemon/notice_test.go
@@ -115,3 +115,43 @@
 	two.limit.Store(&none)
 	s.eventually(8*time.Second, "unlimited", func() bool { return two.mostRuns(time.Second, time.Now().Add(-time.Second)) > 50 })
 }
+
+func TestServerThatSaysItLeavesGetsRequests(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	if got := two.heartbeat(1, 8, false); got != 200 {
+		t.Fatalf("heartbeat: status %d", got)
+	}
+	two.leaving.Store(true)
+	s.awaitServed(time.Second, one, "two")
+	runs := two.runs.Load()
+	expectNone := func(what string) {
+		t.Helper()
+		for i := range 30 {
+			if status, _, _ := one.request(fmt.Sprintf("%s-%d", what, i)); status == 200 {
+				t.Fatalf("%s: a request was served", what)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got := two.runs.Load() - runs; got > 0 {
+			t.Errorf("%s: %d requests reached the server", what, got)
+		}
+	}
+	expectNone("leaving")
+	two.heartbeat(2, 8, false)
+	expectNone("ready heartbeat")
+	// A health check of the restarted daemon does not show that the server leaves.
+	two.restart()
+	s.eventually(5*time.Second, "ready", two.isReady)
+	two.heartbeat(2, 8, false)
+	expectNone("restarted daemon, late heartbeat")
+	two.healthLeaving.Store(true)
+	two.restart()
+	s.eventually(5*time.Second, "ready", two.isReady)
+	expectNone("restarted daemon, health check")
+	two.leaving.Store(false)
+	two.heartbeatOf(time.Now(), 1, 8, false)
+	s.awaitServed(5*time.Second, one, "two")
+}
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -33,7 +33,7 @@
 
 var testHeaders = front.Headers{
 	RequestID: "T-Request", TimeLeft: "T-Left", Signature: "T-Signature", ExpectedInstance: "T-Expected",
-	Load: "T-Load", NotRun: "T-Not-Run", OriginService: "T-Origin", Instance: "T-Instance", Limit: "T-Limit",
+	Load: "T-Load", NotRun: "T-Not-Run", OriginService: "T-Origin", Instance: "T-Instance", Limit: "T-Limit", Leaving: "T-Leaving",
 }
 
 // fakeServer is a fake backend server. Its handler writes the raw bytes of each response.
@@ -246,7 +246,7 @@
 	log.SetFormatter(logs.Formatter{})
 	i.Front = front.New(front.Config{
 		Self: i.id, Service: service, ServerAddr: i.addr(), Headers: testHeaders,
-		Policy: c.policy, Server: i.keeper.Server, OnServerDown: i.keeper.MarkDown,
+		Policy: c.policy, Server: i.keeper.Server, OnServerDown: i.keeper.MarkDown, OnServerLeaving: i.keeper.MarkLeaving,
 		Probe:    func(_ context.Context, id string) bool { return c.probe(id) },
 		Stopping: i.stopping.Load, Closing: func() bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
 		Quarantine: poison.New(time.Now, func(*sycapb.PoisonEntry) {}),
--- a/front/front.go
+++ b/front/front.go
@@ -61,6 +61,8 @@
 	// Limit is the number of requests per second that the backend server takes at present from all
 	// instances together.
 	Limit string
+	// Leaving marks the responses of a backend server that announced its shutdown.
+	Leaving string
 }
 
 // Config configures a Front.
@@ -79,6 +81,9 @@
 	// OnServerDown is called when the backend server with the ID refuses connections or was replaced
 	// by another one.
 	OnServerDown func(instance string)
+	// OnServerLeaving is called when a response shows that the backend server with the ID and start
+	// time announced its shutdown. The start time is zero if it is not known.
+	OnServerLeaving func(instance string, startedAt time.Time)
 	// Probe probes the instance with the ID and reports whether it answered.
 	Probe func(ctx context.Context, id string) bool
 	// Stopping reports whether the daemon is about to stop: connections are closed after the response.
--- a/front/notice.go
+++ b/front/notice.go
@@ -15,14 +15,15 @@
 )
 
 // noticeHeader is the header in which Fronts tell each other the notice of the backend server of the
-// receiver or the sender: instance, start time, limit. It is separate from hopHeader so that
+// receiver or the sender: instance, start time, limit, leaving. It is separate from hopHeader so that
 // daemons of earlier versions ignore it.
 const (
 	noticeHeader = hopHeaderPrefix + "Notice"
-	noticeFields = 3
+	noticeFields = 4
 )
 
-// peerNoticeTTL is how long a notice is told to the daemon of its server.
+// peerNoticeTTL is how long a notice is told to the daemon of its server. Servers that leave go on
+// serving for some seconds, at times many, before they exit.
 const peerNoticeTTL = time.Minute
 
 // A limit has ended after minUnlimited successive responses without it, or with the first one that
@@ -41,6 +42,8 @@
 	// limit is the number of requests per second that the server takes. It is valid if limited is set.
 	limited bool
 	limit   float64
+	// leaving is set once the server announced its shutdown.
+	leaving bool
 }
 
 // isOf reports whether the notice is of a start of a server. A start time that is not known matches
@@ -60,7 +63,7 @@
 		startedMs = n.startedAt.UnixMilli()
 	}
 	var w hopWriter
-	w.text(n.instance).number(startedMs).text(limit)
+	w.text(n.instance).number(startedMs).text(limit).number(int64(flagIf(n.leaving, 1)))
 	return string(w.b)
 }
 
@@ -79,6 +82,7 @@
 		n.startedAt = time.UnixMilli(startedMs)
 	}
 	limit := r.text()
+	n.leaving = r.number() == 1
 	if limit != "" {
 		var err error
 		n.limited = true
@@ -182,11 +186,16 @@
 	if reportInvalid {
 		o.invalid = value
 	}
+	leaving := h.Get(f.Headers.Leaving) != "" && !o.leaving
+	o.leaving = o.leaving || leaving
 	o.mu.Unlock()
 	if reportInvalid {
 		// The limit that was in force before stays, since the server did not end it.
 		f.Log.WithFields(logrus.Fields{"instance": s.Instance, "err": err}).Warn("backend server names an invalid limit; ignoring it")
 	}
+	if leaving {
+		f.OnServerLeaving(s.Instance, s.StartedAt)
+	}
 }
 
 // applyLimit puts the limit of a notice in force, or ends it.
@@ -229,7 +238,13 @@
 		o.setLimit(true, n.limit)
 		f.applyLimit(o.notice, "peer")
 	}
+	// Without a start time the notice may be of an earlier start.
+	leaving := n.leaving && !o.leaving && (!n.startedAt.IsZero() || s.StartedAt.IsZero())
+	o.leaving = o.leaving || leaving
 	o.mu.Unlock()
+	if leaving {
+		f.OnServerLeaving(s.Instance, n.startedAt)
+	}
 }
 
 // addNotice adds the notice of the local backend server, if it has one, to the header of a response
@@ -238,7 +253,7 @@
 	o := &f.notice
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.limited {
+	if o.limited || o.leaving {
 		h.Set(noticeHeader, o.encode())
 	}
 }
@@ -273,7 +288,7 @@
 }
 
 // update records the notice in a response of an instance. A response without one ends a limit if the
-// backend server sent it.
+// backend server sent it. It does not end leaving: the daemon may have restarted.
 func (p *peerNotices) update(id, value string, answered bool, now time.Time) error {
 	n, ok, err := decodeNotice(value)
 	if err != nil {
@@ -281,10 +296,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	old, known := p.m[id]
 	switch {
 	case ok:
+		n.leaving = n.leaving || known && old.leaving && old.instance == n.instance && old.startedAt.Equal(n.startedAt)
 		p.m[id] = peerNotice{notice: n, receivedAt: now}
-	case answered:
+	case !known || !answered:
+	case old.leaving:
+		old.limited = false
+		p.m[id] = old
+	default:
 		delete(p.m, id)
 	}
 	return nil
--- a/front/notice_test.go
+++ b/front/notice_test.go
@@ -31,7 +31,7 @@
 		limitAtRun = target.gate.RateLimit()
 		return respondWithLimit("20")(w, r, body)
 	})
-	notice := "s-" + target.id + "|1000000|20"
+	notice := "s-" + target.id + "|1000000|20|0"
 	h := hopRequestWithNotice(t, target, idempotentFlag, notice)
 	if limitAtRun != 20 {
 		t.Errorf("limit %g at the first run after a peer told it", limitAtRun)
@@ -42,7 +42,7 @@
 }
 
 func TestNoticeOfAnotherServerLimitsThisOne(t *testing.T) {
-	for _, notice := range []string{"s-other|1000000|20", "", "x", "s-a|1|2|3", "s-a|x|20", "s-a|1000000|nan", "s-a|1000000|-1"} {
+	for _, notice := range []string{"s-other|1000000|20|1", "", "x", "s-a|1|2|3|4", "s-a|x|20|0", "s-a|1000000|nan|0", "s-a|1000000|-1|0"} {
 		cl := newCluster(t, viewRoute)
 		target := cl.add("plots")
 		hopRequestWithNotice(t, target, idempotentFlag, strings.Replace(notice, "s-a", "s-"+target.id, 1))
@@ -62,7 +62,7 @@
 	for range 4 {
 		hopRequest(t, target, idempotentFlag)
 	}
-	h := hopRequestWithNotice(t, target, idempotentFlag, "s-"+target.id+"|1000000|20")
+	h := hopRequestWithNotice(t, target, idempotentFlag, "s-"+target.id+"|1000000|20|0")
 	if got := target.gate.RateLimit(); got != 0 || h.Get("Syca-Notice") != "" {
 		t.Errorf("limit %g, notice %q", got, h.Get("Syca-Notice"))
 	}
