front: a refusal counts only for the request that it names, once on a connection

Reported by operators of similar systems: a faulty server writes an earlier refusal once more on a kept connection, and callers are told 'not run' for requests that ran, or the request runs at a second server.

Here: a request that a server refuses may be sent to the same server again under its ID. If that went over the same connection, the repeated refusal was taken for the response to the second send while the server ran it, and the request was sent a third time. A refusal without an ID was taken for one of the current request.

A refusal (421, or marked as not run) counts only if it names the request, or names none and is the first response on its connection; another one that names none is discarded like one of another request. A request whose ID the server has refused is sent again on a new connection only.

--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -216,3 +216,47 @@
 	}
 	two.run()
 }
+
+// Requests that come late in a planned stop take long to run. Each one that a
+// server began to run must get its response.
+func TestLateRequestsOfAStopAreCut(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.stopDelay = time.Second
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	if got := two.heartbeat(1, 40, false); got != 200 {
+		t.Fatalf("heartbeat: status %d", got)
+	}
+	two.delay.Store(int64(900 * time.Millisecond))
+	for _, stopping := range []*httpNode{one, two} {
+		var g errgroup.Group
+		ended := make(chan struct{})
+		for k := range 12 {
+			g.Go(func() error {
+				for n := 0; ; n++ {
+					select {
+					case <-ended:
+						return nil
+					case <-time.After(time.Duration(5+k) * time.Millisecond):
+					}
+					id := fmt.Sprintf("late-%s-%d-%d", stopping.id, k, n)
+					status, _, detail := one.request(id)
+					_, ran := two.ranIDs.Load(id)
+					if ran && status != 200 {
+						t.Errorf("request %s ran and got status %d: %s", id, status, detail)
+					}
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		stopping.stop()
+		if err := <-stopping.done; err != nil {
+			t.Error(err)
+		}
+		close(ended)
+		_ = g.Wait()
+		stopping.run()
+		s.awaitServed(5*time.Second, one, "two")
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -122,13 +122,14 @@
 	levelCache   levelCache
 	notice       ownNotice
 	peerNotices  *peerNotices
+	refusals     *refusals
 	// probes holds the probes of peers in flight.
 	probes errgroup.Group
 }
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, splitter: newSplitter(), dependencies: route.NewDependencies(), runs: newRuns(), monitor: newPeerMonitor(), routeLatency: newRouteLatency(), peerNotices: newPeerNotices()}
+	return &Front{Config: cfg, splitter: newSplitter(), dependencies: route.NewDependencies(), runs: newRuns(), monitor: newPeerMonitor(), routeLatency: newRouteLatency(), peerNotices: newPeerNotices(), refusals: newRefusals()}
 }
 
 // Inflight returns the number of requests in flight.
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -163,13 +163,16 @@
 	if id == r.id {
 		f.ObserveServer(s, h, sentAt)
 	}
+	// The first refusal on a connection need not name its request.
+	named := id == r.id || id == "" && !resp.Reused
 	switch {
-	case resp.Status == http.StatusMisdirectedRequest:
+	case named && resp.Status == http.StatusMisdirectedRequest:
 		resp.Close()
 		f.OnServerDown(s.Instance)
 		return notRunResponse(reasonMoved), admit.NoResponse
-	case h.Get(f.Headers.NotRun) != "":
+	case named && h.Get(f.Headers.NotRun) != "":
 		resp.Close()
+		f.refusals.add(r.id)
 		if running, slots, ok := parseLoad(h.Get(f.Headers.Load)); ok && running < slots {
 			return notRunResponse(reasonRejected), admit.RejectedWithCapacity
 		}
@@ -225,10 +228,12 @@
 		Length:    r.length,
 		MaxBuffer: maxBufferedResponse,
 	}
-	req.IsMismatch = func(h http.Header) bool {
+	req.IsMismatch = func(h http.Header, reused bool) bool {
 		id := h.Get(f.Headers.RequestID)
-		return id != "" && id != r.id
+		// A refusal that names no request may be of an earlier one.
+		return id != r.id && (id != "" || reused && h.Get(f.Headers.NotRun) != "")
 	}
+	req.NewConn = f.refusals.contains(r.id)
 	req.MismatchTimeout = mismatchTimeout
 	if !r.route.Idempotent {
 		req.MaxIdleTime = maxIdleNonIdempotent
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -32,12 +32,15 @@
 	Length int64
 	// MaxIdleTime, if above 0, is the maximum idle time of a reused connection.
 	MaxIdleTime time.Duration
+	// NewConn sends the request on a new connection.
+	NewConn bool
 	// MaxBuffer is the largest response body that Do buffers, in bytes. Larger ones are left in
 	// Response.Stream; with 0, all are.
 	MaxBuffer int64
 	// IsMismatch, if set, reports by its header whether a response belongs to another request. Such a
-	// response is discarded, and Do waits for the matching one on the same connection.
-	IsMismatch func(http.Header) bool
+	// response is discarded, and Do waits for the matching one on the same connection. reused is set
+	// if the connection has carried other requests.
+	IsMismatch func(h http.Header, reused bool) bool
 	// MismatchTimeout limits that wait; with 0, only the context does.
 	MismatchTimeout time.Duration
 }
@@ -58,6 +61,8 @@
 	Stream io.Reader
 	// Length is the announced length of the body, below 0 if none was announced.
 	Length int64
+	// Reused is set if the connection had carried requests before.
+	Reused bool
 
 	close func()
 }
@@ -102,7 +107,13 @@
 	if maxIdle <= 0 {
 		maxIdle = maxIdleTime
 	}
-	c, err := p.getConn(ctx, addr, maxIdle)
+	getConn := p.getConn
+	if req.NewConn {
+		getConn = func(ctx context.Context, addr netip.AddrPort, _ time.Duration) (*conn, error) {
+			return p.dial(ctx, addr)
+		}
+	}
+	c, err := getConn(ctx, addr, maxIdle)
 	if err != nil {
 		return nil, err
 	}
@@ -253,7 +264,7 @@
 
 // readBody reads a body of up to MaxBuffer bytes. It leaves a longer one to the caller.
 func (x *exchange) readBody(resp *http.Response) (*Response, error) {
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: x.c.reused}
 	// Parse the header now, as the caller may modify it before the exchange ends.
 	x.c.idleTimeout = parseIdleTimeout(resp.Header, x.p.cfg.IdleTimeout)
 	if resp.ContentLength > x.req.MaxBuffer {
