admit: the run time that rejects late calls is a low quantile of recent runs

Cause: a call is rejected if less than 0.7 of the mean run time of its method is left. The mean is a moving average of completed runs. 30 runs that were open in the freeze completed with 4 s each; from then on each nested call was rejected before it ran, and no run ever corrected the mean. A slow phase of the server does the same.

The estimate is the lower quartile of the latest 32 runs of the method that are younger than 0.5 s. Without runs it ends by itself, so one run corrects it. The log line of a rejection has the time left, the time required, the number of runs and the age of the latest one.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -71,7 +71,7 @@
 	minQueueLen = 8
 	// runTimeWeight is the weight of one run in the moving average of the run time.
 	runTimeWeight = 0.05
-	// minRunTimeRatio is the fraction of the method's mean run time that must remain before the
+	// minRunTimeRatio is the fraction of the method's estimated run time that must remain before the
 	// deadline.
 	minRunTimeRatio = 0.7
 	// decreaseFactor is the factor by which a rejection by the backend server decreases the limit.
@@ -149,7 +149,7 @@
 	// acceptRatio is the fraction of calls that the backend server accepts; rejected calls end at
 	// once and occupy no slot.
 	acceptRatio  float64
-	runTimes     map[string]time.Duration
+	runTimes     map[string]*runEstimate
 	lastDecrease time.Time
 	control      levelController
 	rate         rateLimit
@@ -157,7 +157,7 @@
 
 // New returns a Gate for a cold backend server.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, startedAt: cfg.Now(), adaptiveLimit: float64(cfg.Slots), acceptRatio: 1, runTimes: map[string]time.Duration{}, control: newLevelController()}
+	return &Gate{cfg: cfg, startedAt: cfg.Now(), adaptiveLimit: float64(cfg.Slots), acceptRatio: 1, runTimes: map[string]*runEstimate{}, control: newLevelController()}
 }
 
 // ShedError reports a call that was shed for lack of capacity. It did not run.
@@ -171,7 +171,11 @@
 
 // DeadlineError reports a call that could not finish before its deadline. It did not run.
 type DeadlineError struct {
-	Remaining time.Duration
+	// Remaining is the time until the deadline, Required the time that must remain.
+	Remaining, Required time.Duration
+	// Runs is the number of runs from which Required was estimated, Age the time since the latest one.
+	Runs int
+	Age  time.Duration
 }
 
 func (e *DeadlineError) Error() string {
@@ -257,13 +261,13 @@
 
 // checkDeadline returns a *DeadlineError if w cannot finish before its deadline.
 func (g *Gate) checkDeadline(w *waiter, now time.Time) error {
-	remaining := w.Deadline.Sub(now)
-	required := time.Duration(minRunTimeRatio * float64(g.runTimes[w.Method]))
-	if g.cfg.Mode == Static {
-		required = 0
+	e := &DeadlineError{Remaining: w.Deadline.Sub(now)}
+	if estimate := g.runTimes[w.Method]; estimate != nil && g.cfg.Mode != Static {
+		e.Required, e.Runs, e.Age = estimate.estimate(now)
+		e.Required = time.Duration(minRunTimeRatio * float64(e.Required))
 	}
-	if remaining <= required {
-		return &DeadlineError{Remaining: remaining}
+	if e.Remaining <= e.Required {
+		return e
 	}
 	return nil
 }
@@ -369,7 +373,10 @@
 	case Completed:
 		g.adaptiveLimit = min(slots, g.adaptiveLimit+1/g.adaptiveLimit)
 		g.meanRunTime = ewma(g.meanRunTime, d)
-		g.runTimes[p.method] = ewma(g.runTimes[p.method], d)
+		if g.runTimes[p.method] == nil {
+			g.runTimes[p.method] = &runEstimate{}
+		}
+		g.runTimes[p.method].add(d, now)
 	case RejectedWithCapacity, NoResponse:
 	}
 }
@@ -434,7 +441,7 @@
 	g.startedAt = g.cfg.Now()
 	g.meanRunTime = 0
 	g.acceptRatio = 1
-	g.runTimes = map[string]time.Duration{}
+	g.runTimes = map[string]*runEstimate{}
 	g.adaptiveLimit = float64(g.cfg.Slots)
 }
 
--- a/front/accesslog.go
+++ b/front/accesslog.go
@@ -76,10 +76,14 @@
 		result = a.outcome.String()
 	}
 	f.Stats.Run(result, a.queueTime, a.runTime)
-	f.logPairs(r).Text("outcome", result).Int("status", int64(a.status)).
+	p := f.logPairs(r).Text("outcome", result).Int("status", int64(a.status)).
 		Millis("waited_ms", a.queueTime).Millis("ran_ms", a.runTime).
 		Int("running", int64(a.load.running)).Int("queued", int64(a.load.queued)).Int("limit", int64(a.load.limit)).
-		Int("admits", int64(f.Gate.Level())).Text("instance", f.Server().Instance).Info(f.Log, "run")
+		Int("admits", int64(f.Gate.Level())).Text("instance", f.Server().Instance)
+	if e := a.deadlineErr; e != nil {
+		p.Millis("left_ms", e.Remaining).Millis("required_ms", e.Required).Int("samples", int64(e.Runs)).Millis("sample_age_ms", e.Age)
+	}
+	p.Info(f.Log, "run")
 }
 
 func millis(d time.Duration) float64 {
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -116,7 +116,7 @@
 	}
 	permit, err := f.Gate.Acquire(ctx, admit.Call{Key: r.key, Nested: r.nested, Method: r.route.Name, Deadline: r.deadline, QueueTimeout: r.queueTimeout(arrived)})
 	if err != nil {
-		return notRunResponse(admitErrReason(err))
+		return admitErrResponse(err)
 	}
 	result := admit.NoResponse
 	defer func() { permit.Release(result) }()
@@ -132,19 +132,21 @@
 	return resp
 }
 
-// admitErrReason returns the reason for an error of Gate.Acquire.
-func admitErrReason(err error) string {
+// admitErrResponse maps an error of Gate.Acquire to a response.
+func admitErrResponse(err error) *response {
 	var deadlineErr *admit.DeadlineError
 	var shedErr *admit.ShedError
 	switch {
 	case errors.As(err, &deadlineErr):
-		return reasonTooLate
+		resp := notRunResponse(reasonTooLate)
+		resp.deadlineErr = deadlineErr
+		return resp
 	case errors.As(err, &shedErr):
-		return reasonShed
+		return notRunResponse(reasonShed)
 	case errors.Is(err, context.DeadlineExceeded):
-		return reasonTooLate
+		return notRunResponse(reasonTooLate)
 	}
-	return reasonCanceled
+	return notRunResponse(reasonCanceled)
 }
 
 // callServer sends a request to the backend server and validates the response.
--- a/front/response.go
+++ b/front/response.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"sycamorespread.dev/admit"
 )
 
 // outcome is the result of sending a request to an instance.
@@ -62,6 +64,8 @@
 	queueTime, runTime time.Duration
 	// instance is the ID of the backend server that ran the request.
 	instance string
+	// deadlineErr is why the gate of this instance rejected the request as too late, nil if it did not.
+	deadlineErr *admit.DeadlineError
 }
 
 // load is the number of running and queued requests of an instance and its concurrency limit.
