front: a request that one instance rejects as too late is tried at one more

Requests failed at an instance whose run-time estimate was wrong, while others were idle: a rejection as too late counted for nothing in the weight of a target, and it was final though the request had not run.

Evidence: TestInstanceThatRejectsAllAsLateKeepsItsTraffic: 80 of 150 requests rejected before; 38 to 56 with the weight alone; at most 30 allowed, passes now.

A rejection as too late counts as a failure of the target, as a rejection by its server does, and the request is sent to one more instance.

--- a/front/entry.go
+++ b/front/entry.go
@@ -18,6 +18,9 @@
 const (
 	// maxTries is the maximum number of attempts for one request, including those that did not run.
 	maxTries = 8
+	// maxLateRetries is the number of further instances that are tried after one rejected the request as
+	// too late.
+	maxLateRetries = 1
 	// minRetryTime is the minimum time until the deadline for another attempt.
 	minRetryTime = 30 * time.Millisecond
 	// retryAfterNoPolicy is the Retry-After duration while no policy is known.
@@ -215,7 +218,7 @@
 		return
 	}
 	l := &sycapb.Load{Inflight: uint32(a.load.running), Queued: uint32(a.load.queued), Limit: uint32(a.load.limit)}
-	failed := a.reason == reasonRejected || a.status >= http.StatusInternalServerError
+	failed := a.reason == reasonRejected || a.reason == reasonTooLate || a.status >= http.StatusInternalServerError
 	attempt.Done(route.Report{Load: l, Levels: a.levels.byRoute, Latency: a.runTime, Failed: failed})
 }
 
@@ -231,6 +234,10 @@
 		return possibleRuns == 0 || r.route.Idempotent
 	case reasonShed:
 		return possibleRuns == 0
+	case reasonTooLate:
+		// The estimate of one instance may be wrong. If that of another agrees, the request is hopeless.
+		r.lates++
+		return possibleRuns == 0 && r.lates <= maxLateRetries
 	case reasonRejected:
 		return budget.AllowRetry(r.key)
 	case reasonLost, reasonCrash, reasonUnresponsive:
--- a/front/request.go
+++ b/front/request.go
@@ -43,6 +43,8 @@
 	nested bool
 	// retry is set if the request or its parent is a retry.
 	retry bool
+	// lates is the number of instances that rejected the request as too late.
+	lates int
 	// senderRestoresID is set if the sending Front adds the request ID to the response.
 	senderRestoresID bool
 	// body is the complete body, unless stream is set.
