member, store, daemon: a confirmation is as old as the question that it answers

Cause: packets carry the time since their sender knew its version to be the newest, and the receiver subtracted it from the time at which it read the packet. The clock of a suspended machine stands still, so a watcher that was suspended for 4 s stated an age of some milliseconds; and a packet that waited in a squeezed link, or at a suspended receiver, counted as new. Each receiver passed the wrong age on.

Only an ack confirms a version now, as of the time at which its ping was sent less the stated age. Followers ask the watchers of their zone (AskRevision) in place of getting unasked packets from them. All these times are of a clock that also runs while the machine is suspended (package clock).

TestSuspendedWatchConfirmsAnOldItem covers a suspended watch.

--- a/daemon/confirm.go
+++ b/daemon/confirm.go
@@ -16,10 +16,12 @@
 
 const (
 	// confirmRatio and policyAgeRatio are ratios of the time within which a policy must be in force:
-	// the interval at which watchers confirm that it is the newest, and the age from which a daemon
-	// reads the store itself. The rest is for that read.
+	// the interval at which watchers confirm that it is the newest, after which others ask them, and
+	// the age from which a daemon reads the store itself. The rest is for that read.
 	confirmRatio   = 0.4
 	policyAgeRatio = 0.6
+	// askInterval is the interval at which a daemon asks watchers until one confirms the policy.
+	askInterval = 100 * time.Millisecond
 	// confirmRetryDelay is the delay before a second read of the store if the first one has not
 	// returned or has failed. It doubles with each further read, up to maxConfirmRetryDelay.
 	confirmRetryDelay    = 150 * time.Millisecond
@@ -43,16 +45,14 @@
 	d.confirmed.Confirm(revision, at, addr.String())
 }
 
-// confirmPolicy records a read of the store that returned the policy in force, and
-// passes it on if this daemon is a watcher.
+// confirmPolicy records a read of the store that returned the policy in force.
 func (d *Daemon) confirmPolicy(revision uint64, at time.Time) {
 	d.confirmed.Confirm(revision, at, sourcePlatform)
-	d.node.SendRevision(d.followers())
 }
 
-// confirmLoop reads the store whenever the policy in force is not known to be the
-// newest: no watcher that reaches this daemon has read the store lately, or this
-// daemon has no policy.
+// confirmLoop asks the watchers of this zone whether the policy in force is the
+// newest, and reads the store whenever that is not known: no watcher that this
+// daemon reaches has read the store lately, or this daemon has no policy.
 func (d *Daemon) confirmLoop(ctx context.Context) error {
 	if !d.awaitPeerPolicy(ctx) {
 		return nil
@@ -60,11 +60,19 @@
 	var reads errgroup.Group
 	reads.SetLimit(maxConfirmReads)
 	retry := confirmRetryDelay
-	for {
+	askWindow := scale(d.cfg.PolicyDelay, policyAgeRatio-confirmRatio)
+	for asked := 0; ; {
 		wait := d.confirmed.Remaining()
-		if wait > 0 {
+		switch {
+		case wait > askWindow:
+			retry = confirmRetryDelay
+			wait -= askWindow
+		case wait > 0:
 			retry = confirmRetryDelay
-		} else {
+			d.askWatcher(ctx, asked)
+			asked++
+			wait = min(wait, askInterval)
+		default:
 			d.startRead(ctx, &reads, retry > confirmRetryDelay)
 			wait = retry/2 + rand.N(retry)
 			retry = min(2*retry, maxConfirmRetryDelay)
@@ -78,6 +86,17 @@
 	}
 }
 
+// askWatcher asks one of the watchers of this zone for its revision, another one at
+// each number.
+func (d *Daemon) askWatcher(ctx context.Context, number int) {
+	watchers := d.otherWatchers()
+	if len(watchers) == 0 {
+		return
+	}
+	m := watchers[number%len(watchers)]
+	d.node.AskRevision(ctx, m.id, m.addr)
+}
+
 // startRead starts a read of the store unless maxConfirmReads are in flight. A
 // repeated read uses a new connection, since idle ones may have gone silent.
 func (d *Daemon) startRead(ctx context.Context, reads *errgroup.Group, repeated bool) {
@@ -139,22 +158,19 @@
 	return list
 }
 
-// followers returns the addresses of the zone members to which this daemon sends
-// its confirmations. Each of them is a follower of two watchers.
-func (d *Daemon) followers() []netip.AddrPort {
+// otherWatchers returns the watchers of this zone except this daemon, in an order
+// that spreads the load among them.
+func (d *Daemon) otherWatchers() []zoneMember {
 	list := d.zoneMembers()
-	watchers := min(len(list), d.watchers(len(list)))
+	watchers := list[:min(len(list), d.watchers(len(list)))]
 	rank := slices.IndexFunc(list, func(m zoneMember) bool { return m.id == d.cfg.ID })
-	if rank >= watchers {
-		return nil
-	}
-	var addrs []netip.AddrPort
-	for i := watchers; i < len(list); i++ {
-		if i%watchers == rank || (i+1)%watchers == rank {
-			addrs = append(addrs, list[i].addr)
+	var others []zoneMember
+	for i := range watchers {
+		if m := watchers[(rank+i)%len(watchers)]; m.id != d.cfg.ID {
+			others = append(others, m)
 		}
 	}
-	return addrs
+	return others
 }
 
 // watchers returns the number of watchers in a zone with a number of live daemons.
@@ -185,6 +201,7 @@
 func (d *Daemon) watchHead(ctx context.Context) error {
 	return d.platform.Watch(ctx, store.Watcher{
 		Key:         d.policyKey(),
+		Now:         d.clock,
 		Interval:    scale(d.cfg.PolicyDelay, confirmRatio),
 		Keep:        d.isWatcher,
 		OnItem:      func(item store.Item, at time.Time) { d.applyHead(ctx, item, at) },
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/allow"
 	"sycamorespread.dev/burn"
+	"sycamorespread.dev/clock"
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/fresh"
 	"sycamorespread.dev/front"
@@ -85,6 +86,8 @@
 	burnRecorder *burn.Recorder
 	policyHolder *policy.Holder
 	confirmed    *fresh.Tracker
+	// clock also runs while the machine is suspended.
+	clock        func() time.Time
 	registry     *policy.Registry
 	node         *member.Node
 	peers        *peer.Client
@@ -126,6 +129,10 @@
 // platform that it runs on.
 func New(cfg *config.Config, log *logrus.Entry, adapter Adapter) (*Daemon, error) {
 	started := time.Now()
+	suspendClock, err := clock.New()
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
 		cfg:          cfg,
 		log:          log,
@@ -143,6 +150,7 @@
 		claimLimiter: rate.NewLimiter(rate.Limit(cfg.ClaimRate), int(cfg.ClaimRate)),
 		runs:         newRuns(),
 		dependencies: newDependencySet(),
+		clock:        suspendClock,
 		suspectSem:   make(chan struct{}, 1),
 		routesStale:  make(chan struct{}, 1),
 	}
@@ -155,7 +163,7 @@
 		return nil, err
 	}
 	d.puller = newPuller(d.policyHolder.Revision, d.pullGuarded)
-	d.confirmed = fresh.New(fresh.Config{MaxAge: scale(cfg.PolicyDelay, policyAgeRatio), Revision: d.policyHolder.Revision, Now: time.Now, Log: log})
+	d.confirmed = fresh.New(fresh.Config{MaxAge: scale(cfg.PolicyDelay, policyAgeRatio), Revision: d.policyHolder.Revision, Now: d.clock, Log: log})
 	d.openPlatform()
 	return d, d.listen()
 }
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -53,6 +53,7 @@
 		},
 		ProbeInterval:   d.cfg.ProbeInterval,
 		Now:             time.Now,
+		Clock:           d.clock,
 		Revision:        d.policyHolder.Revision,
 		PolicyAge:       d.confirmed.Age,
 		OnConfirmed:     d.policyConfirmed,
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -71,7 +71,7 @@
 
 // readHead reads and applies the policy head.
 func (d *Daemon) readHead(ctx context.Context) error {
-	start := time.Now()
+	start := d.clock()
 	item, err := d.platform.Get(ctx, d.policyKey())
 	if err != nil {
 		d.log.WithField("err", err).Warn("read policy head failed")
--- a/daemon/pull.go
+++ b/daemon/pull.go
@@ -150,10 +150,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	start := time.Now()
+	start := d.clock()
 	r, err := d.peers.Pull(ctx, src.addr, &sycapb.PullRequest{Have: have})
 	if err != nil || r.Revision <= have {
-		d.log.WithFields(logrus.Fields{"peer": src.addr, "announced": src.revision, "ms": time.Since(start).Milliseconds(), "err": err}).Warn("pull from peer returned no newer policy")
+		d.log.WithFields(logrus.Fields{"peer": src.addr, "announced": src.revision, "ms": d.clock().Sub(start).Milliseconds(), "err": err}).Warn("pull from peer returned no newer policy")
 		return
 	}
 	p, err := d.decodePulled(r)
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -6,7 +6,7 @@
 // read was sent. Without a confirmation within the maximum age, the daemon has
 // to read the store itself.
 //
-//	t := fresh.New(fresh.Config{MaxAge: time.Second, Revision: holder.Revision, Now: time.Now, Log: log})
+//	t := fresh.New(fresh.Config{MaxAge: time.Second, Revision: holder.Revision, Now: now, Log: log})
 //	t.Confirm(7, sentAt, "platform")
 //	if t.Remaining() <= 0 {
 //		// read the store
@@ -26,8 +26,9 @@
 	MaxAge time.Duration
 	// Revision returns the revision of the policy in force, 0 if there is none.
 	Revision func() uint64
-	Now      func() time.Time
-	Log      *logrus.Entry
+	// Now returns the time of a clock that also runs while the machine is suspended.
+	Now func() time.Time
+	Log *logrus.Entry
 }
 
 // Tracker holds the latest confirmation of the policy in force. It is safe for
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -204,7 +204,7 @@
 	p.From = n.self.Id
 	p.FromAddr = n.self.Addr
 	p.PolicyRevision = n.cfg.Revision()
-	if n.cfg.PolicyAge != nil {
+	if p.Kind == sycapb.Packet_KIND_ACK && n.cfg.PolicyAge != nil {
 		if age, ok := n.cfg.PolicyAge(p.PolicyRevision); ok {
 			p.PolicyAgeMs = proto.Uint32(uint32(min(math.MaxUint32, age/time.Millisecond+1)))
 		}
@@ -282,10 +282,6 @@
 			n.cfg.OnPoison(e)
 		}
 	}
-	if n.cfg.OnConfirmed != nil && p.PolicyAgeMs != nil {
-		age := time.Duration(*p.PolicyAgeMs) * time.Millisecond
-		n.cfg.OnConfirmed(from, p.PolicyRevision, n.cfg.Now().Add(-age))
-	}
 	if n.cfg.OnNewerRevision != nil && p.PolicyRevision > n.cfg.Revision() {
 		n.cfg.OnNewerRevision(from, p.PolicyRevision)
 	}
@@ -298,7 +294,7 @@
 		}
 		n.send(from, &sycapb.Packet{Kind: kind, Seq: p.Seq})
 	case sycapb.Packet_KIND_ACK:
-		n.handleAck(p.Seq)
+		n.handleAck(from, p)
 	case sycapb.Packet_KIND_PINGREQ:
 		n.relayPing(ctx, from, p)
 	case sycapb.Packet_KIND_GOSSIP:
--- a/member/member.go
+++ b/member/member.go
@@ -65,13 +65,16 @@
 	// ProbeInterval is the time between two probes.
 	ProbeInterval time.Duration
 	Now           func() time.Time
+	// Clock returns the time of a clock that also runs while the machine is suspended. It is nil if
+	// OnConfirmed is.
+	Clock func() time.Time
 	// Revision returns the policy revision in force at this daemon.
 	Revision func() uint64
 	// PolicyAge returns the time since a revision was last known to be the newest one, and false if
 	// that is not known. It may be nil.
 	PolicyAge func(revision uint64) (time.Duration, bool)
-	// OnConfirmed is called when a packet from addr shows that a revision was the newest one at a time.
-	// It may be nil.
+	// OnConfirmed is called when an ack from addr shows that a revision was the newest one at a time of
+	// Clock. It may be nil.
 	OnConfirmed func(addr netip.AddrPort, revision uint64, at time.Time)
 	// OnNewerRevision is called when a packet shows that addr has a higher policy revision.
 	OnNewerRevision func(addr netip.AddrPort, revision uint64)
@@ -119,13 +122,13 @@
 	revisionSends     int
 	probeOrder        []string
 	seq               uint64
-	pendingAcks       map[uint64]chan struct{}
+	pendingAcks       map[uint64]pendingAck
 	bytesIn, bytesOut uint64
 	// unknownSenders holds the addresses of the latest senders that are not members.
 	unknownSenders []netip.AddrPort
 	// limiter limits the bytes sent on gossip ticks.
 	limiter *rate.Limiter
-	// tasks runs the probes on behalf of other members and the exchanges of Join.
+	// tasks runs the probes on behalf of other members, those of AskRevision and the exchanges of Join.
 	tasks errgroup.Group
 }
 
@@ -143,7 +146,7 @@
 		id:          cfg.Self.Id,
 		members:     map[string]*Member{},
 		poisons:     map[uint64]*poisonUpdate{},
-		pendingAcks: map[uint64]chan struct{}{},
+		pendingAcks: map[uint64]pendingAck{},
 		updates:     updateQueue{items: map[string]*update{}, ready: make(chan struct{}, 1)},
 		limiter:     rate.NewLimiter(gossipRate, gossipBurst),
 	}
@@ -243,11 +246,14 @@
 	n.gossip()
 }
 
-// SendRevision sends the policy revision in force and its age to members.
-func (n *Node) SendRevision(to []netip.AddrPort) {
-	for _, addr := range to {
-		n.sendWith(addr, &sycapb.Packet{Kind: sycapb.Packet_KIND_GOSSIP}, n.fillSender)
-	}
+// AskRevision probes the member with an ID at its address. The ack carries the
+// policy revision in force there and its age.
+func (n *Node) AskRevision(ctx context.Context, id string, addr netip.AddrPort) {
+	n.tasks.Go(func() error {
+		// Guard has logged a panic; the caller asks again.
+		_ = n.cfg.Guard.Call("ask", func() { n.ping(ctx, id, addr, ackTimeout) })
+		return nil
+	})
 }
 
 // AnnouncePoison gossips a changed poison entry.
--- a/member/probe.go
+++ b/member/probe.go
@@ -139,13 +139,23 @@
 	return false
 }
 
+// pendingAck is a probe that is waiting for its ack.
+type pendingAck struct {
+	acked chan struct{}
+	// sentAt is a time of Config.Clock, zero without one.
+	sentAt time.Time
+}
+
 func (n *Node) expectAck() (uint64, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.seq++
-	c := make(chan struct{}, 1)
-	n.pendingAcks[n.seq] = c
-	return n.seq, c
+	pending := pendingAck{acked: make(chan struct{}, 1)}
+	if n.cfg.Clock != nil {
+		pending.sentAt = n.cfg.Clock()
+	}
+	n.pendingAcks[n.seq] = pending
+	return n.seq, pending.acked
 }
 
 func (n *Node) forgetAck(seq uint64) {
@@ -154,14 +164,23 @@
 	delete(n.pendingAcks, seq)
 }
 
-func (n *Node) handleAck(seq uint64) {
+// handleAck ends the probe that an ack from addr belongs to. Only an ack can confirm a revision:
+// other packets do not tell how long they were on their way, or were waiting while this machine
+// was suspended.
+func (n *Node) handleAck(addr netip.AddrPort, p *sycapb.Packet) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if c, ok := n.pendingAcks[seq]; ok {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
+	pending, ok := n.pendingAcks[p.Seq]
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	if n.cfg.OnConfirmed != nil && p.PolicyAgeMs != nil {
+		age := time.Duration(*p.PolicyAgeMs) * time.Millisecond
+		n.cfg.OnConfirmed(addr, p.PolicyRevision, pending.sentAt.Add(-age))
+	}
+	select {
+	case pending.acked <- struct{}{}:
+	default:
 	}
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -182,6 +182,8 @@
 // the last item was the newest one.
 type Watcher struct {
 	Key string
+	// Now returns the time of a clock that also runs while the machine is suspended.
+	Now func() time.Time
 	// Interval is the longest time between two of these times while the platform responds.
 	Interval time.Duration
 	// Keep is called before each watch call; the watch ends if it returns false.
@@ -196,7 +198,7 @@
 // Watch observes the key of w until ctx ends, a call fails, or Keep returns false.
 func (c *Client) Watch(ctx context.Context, w Watcher) error {
 	for {
-		current := time.Now()
+		current := w.Now()
 		item, err := c.Get(ctx, w.Key)
 		if err != nil {
 			return err
@@ -217,7 +219,7 @@
 // the time current. watchFrom returns false if it may have missed changes.
 func (c *Client) watchFrom(ctx context.Context, w Watcher, after uint64, current time.Time) (complete bool, err error) {
 	for ctx.Err() == nil && w.Keep() {
-		start := time.Now()
+		start := w.Now()
 		wait := max(scale(w.Interval, minWaitRatio), w.Interval-start.Sub(current)).Round(time.Millisecond)
 		events, next, err := c.watchOnce(ctx, w.Key, after, wait)
 		var compacted *CompactedError
@@ -233,7 +235,7 @@
 				// The change is of another key, or the watch has skipped it.
 				return false, nil
 			}
-			if time.Since(start) >= wait {
+			if w.Now().Sub(start) >= wait {
 				// The platform has waited for a change.
 				current = start.Add(wait)
 			}
--- a/store/watch_test.go
+++ b/store/watch_test.go
@@ -24,6 +24,7 @@
 	// The error is that of ctx.
 	_ = c.Watch(ctx, store.Watcher{
 		Key:      "k",
+		Now:      time.Now,
 		Interval: 10 * time.Millisecond,
 		Keep:     func() bool { return true },
 		OnItem: func(item store.Item, _ time.Time) {
@@ -71,3 +72,36 @@
 		t.Errorf("%d reads for an item that did not change", reads)
 	}
 }
+
+func TestSuspendedWatchConfirmsAnOldItem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var confirmed []time.Time
+	ctx, cancel := context.WithCancel(context.Background())
+	tr := store.Transport{
+		Get: func(context.Context, string) (store.Item, error) {
+			return store.Item{Key: "k", Revision: 5, StoreRevision: 5}, nil
+		},
+		Watch: func(_ context.Context, _ string, after uint64, _ time.Duration) ([]store.Event, uint64, error) {
+			// The response arrives, and is read after the machine was suspended.
+			now = now.Add(4 * time.Second)
+			return nil, after, nil
+		},
+	}
+	c := store.New(tr, store.RateLimits{Reads: 1000, Writes: 1000})
+	start := now
+	// The error is that of ctx.
+	_ = c.Watch(ctx, store.Watcher{
+		Key:      "k",
+		Now:      func() time.Time { return now },
+		Interval: time.Second,
+		Keep:     func() bool { return true },
+		OnItem:   func(store.Item, time.Time) {},
+		OnUnchanged: func(at time.Time) {
+			confirmed = append(confirmed, at)
+			cancel()
+		},
+	})
+	if len(confirmed) != 1 || confirmed[0].Sub(start) > time.Second {
+		t.Errorf("confirmed as of %v, the response was sent within a second of %s", confirmed, start)
+	}
+}
