peer: a policy is pulled on a new connection

Cause: open connections had gone silent at 20.5 s. A pull took an idle connection of the pool and waited for its timeout of 1 s; the next source was asked only then, again on a silent connection.

Evidence: TestPullWaitsOnASilentConnection failed (deadline exceeded), passes now.

One connection for each new version and daemon is cheap, and its handshake is the shortest test whether the peer responds.

--- a/peer/client.go
+++ b/peer/client.go
@@ -95,6 +95,10 @@
 	if conn, ok := c.pool.Take(addr); ok {
 		return conn, nil
 	}
+	return c.dial(ctx, addr)
+}
+
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*drpcconn.Conn, error) {
 	c.dials.Add(1)
 	d := net.Dialer{Timeout: dialTimeout}
 	if c.local.IsValid() {
@@ -145,11 +149,20 @@
 	})
 }
 
-// Pull fetches the policy in force at a peer.
+// Pull fetches the policy in force at a peer, on a new connection: an idle one may have gone silent,
+// and a policy is late if the call has to time out first.
 func (c *Client) Pull(ctx context.Context, addr netip.AddrPort, req *sycapb.PullRequest) (*sycapb.PullReply, error) {
-	return doCall(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.PullReply, error) {
-		return p.Pull(ctx, req)
-	})
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	// The reply is complete; the error says nothing about it.
+	defer func() { _ = conn.Close() }()
+	r, err := sycapb.NewDRPCPeerClient(conn).Pull(ctx, req)
+	if err != nil {
+		return nil, &NoResponseError{Addr: addr, Err: err}
+	}
+	return r, nil
 }
 
 // LocalBurn fetches the burn counts of a peer.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,96 @@
 		t.Errorf("call after the panic: %v, %v", r, err)
 	}
 }
+
+// silencer forwards connections to a peer. Those that are open when silence is called carry nothing
+// from then on; later ones work.
+type silencer struct {
+	addr netip.AddrPort
+	to   netip.AddrPort
+	// silent is closed by silence and replaced.
+	silent atomic.Pointer[chan struct{}]
+}
+
+func newSilencer(t *testing.T, to netip.AddrPort) *silencer {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &silencer{addr: l.Addr().(*net.TCPAddr).AddrPort(), to: to}
+	open := make(chan struct{})
+	s.silent.Store(&open)
+	var g errgroup.Group
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.silence()
+		_ = g.Wait()
+	})
+	g.Go(func() error {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			out, err := net.Dial("tcp", s.to.String())
+			if err != nil {
+				return err
+			}
+			t.Cleanup(func() { _, _ = in.Close(), out.Close() })
+			silent := *s.silent.Load()
+			g.Go(func() error { return forward(in, out, silent) })
+			g.Go(func() error { return forward(out, in, silent) })
+		}
+	})
+	return s
+}
+
+func forward(to, from net.Conn, silent <-chan struct{}) error {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		select {
+		case <-silent:
+			return nil
+		default:
+		}
+		if err != nil {
+			return to.Close()
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return nil
+		}
+	}
+}
+
+func (s *silencer) silence() {
+	open := make(chan struct{})
+	close(*s.silent.Swap(&open))
+}
+
+func TestPullWaitsOnASilentConnection(t *testing.T) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var g errgroup.Group
+	p := &peer.Server{OnPull: func(r *sycapb.PullRequest) *sycapb.PullReply { return &sycapb.PullReply{Revision: r.Have + 1} }}
+	g.Go(func() error { return p.Serve(ctx, l) })
+	t.Cleanup(func() {
+		stop()
+		_ = g.Wait()
+	})
+	s := newSilencer(t, l.Addr().(*net.TCPAddr).AddrPort())
+	c := peer.New(peer.Config{MaxIdleConns: 4, IdleTimeout: time.Minute})
+	defer func() { _ = c.Close() }()
+	for round := range uint64(3) {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		if round > 0 {
+			s.silence()
+		}
+		if r, err := c.Pull(callCtx, s.addr, &sycapb.PullRequest{Have: round}); err != nil || r.Revision != round+1 {
+			t.Errorf("round %d: %v, %v", round, r, err)
+		}
+		cancel()
+	}
+}
