front, daemon: downstream calls that would outlast a stop are rejected

Reported by operators of similar systems: in a planned stop, requests that came late were passed on, and cut without an answer at the end (LOST).

Here: callers' requests are rejected from stop_wait on, but downstream calls of runs in flight were taken until the end. One that came 0.3 s before the end ran at another server, and its connection was closed.

In the last second of a stop such calls are rejected as not run. The end of a stop follows the time until the platform kills the process (front.grace, from the platform's settings) in place of a constant 5 s, so that a longer one is used.

--- a/config/config.go
+++ b/config/config.go
@@ -22,6 +22,10 @@
 	"sycamorespread.dev/allow"
 )
 
+// stopRatio is the duration of a stop as a ratio of the time until the process is killed. The rest is
+// for the end of the process.
+const stopRatio = 0.9
+
 // maxRetrySlack is the upper limit of Config.RetrySlack.
 const maxRetrySlack = 100_000
 
@@ -206,7 +210,8 @@
 	c.Front.Control = r.addr("front", "control", frontPresence)
 	c.Front.Metrics = r.addr("front", "metrics", optional)
 	c.Front.StopDelay = r.duration("front", "stop_wait", 2500*time.Millisecond, 0, time.Minute)
-	c.Front.StopTimeout = r.duration("front", "stop_most", 5*time.Second, 0, 5*time.Minute)
+	grace := r.duration("front", "grace", 6*time.Second, time.Second, 10*time.Minute)
+	c.Front.StopTimeout = r.duration("front", "stop_most", time.Duration(stopRatio*float64(grace)), 0, 10*time.Minute)
 }
 
 type presence bool
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,8 @@
 	newWorkGrace = 3 * time.Second
 	// drainPollInterval is the time between two checks for calls in flight while the daemon leaves.
 	drainPollInterval = 20 * time.Millisecond
+	// lastCallTime is the time before the end of a stop from which downstream calls are rejected too.
+	lastCallTime = time.Second
 )
 
 // Daemon is the sidecar of one backend server.
@@ -112,6 +114,7 @@
 	incarnation  uint64
 	leaving      atomic.Bool
 	closing      atomic.Bool
+	ending       atomic.Bool
 	leavingSince atomic.Int64
 	serverDown   atomic.Bool
 	joined       atomic.Bool
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -103,6 +103,7 @@
 		Probe:           d.node.Reachable,
 		Stopping:        d.leaving.Load,
 		Closing:         d.closing.Load,
+		Ending:          d.ending.Load,
 		Table:           d.table,
 		Gate:            d.gate,
 		Budgets:         d.budgets,
@@ -209,6 +210,7 @@
 	sleep(ctx, cfg.StopDelay-time.Since(start))
 	d.closing.Store(true)
 	for d.front.Inflight() > 0 && sleep(ctx, drainPollInterval) {
+		d.ending.Store(time.Since(start) > cfg.StopTimeout-lastCallTime)
 	}
 	d.node.UpdateSelf(func(e *sycapb.MemberEntry) { e.State = sycapb.MemberState_MEMBER_STATE_LEFT })
 	d.closeFront(ctx)
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -260,3 +260,51 @@
 		s.awaitServed(5*time.Second, one, "two")
 	}
 }
+
+func TestLateCallOfAStopIsCut(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.stopDelay = 2400 * time.Millisecond
+	s.configure(7, "two")
+	one := s.add("one")
+	two, three := s.add("two"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	for _, n := range []*httpNode{two, three} {
+		s.eventually(5*time.Second, "ready", n.isReady)
+		n.delay.Store(int64(1200 * time.Millisecond))
+	}
+	start := time.Now()
+	two.stop()
+	time.Sleep(s.stopDelay - 300*time.Millisecond)
+	var g errgroup.Group
+	var parents atomic.Int64
+	for k := range 8 {
+		parent := fmt.Sprintf("parent-%d", k)
+		g.Go(func() error {
+			two.request(parent)
+			return nil
+		})
+		g.Go(func() error {
+			time.Sleep(2700*time.Millisecond - time.Since(start))
+			if _, ok := two.ranIDs.Load(parent); !ok {
+				return nil
+			}
+			parents.Add(1)
+			id := parent + ".call"
+			status, _, detail := two.request(id)
+			_, ranAtTwo := two.ranIDs.Load(id)
+			_, ranAtThree := three.ranIDs.Load(id)
+			if (ranAtTwo || ranAtThree) && status != 200 {
+				t.Errorf("call %s ran and got status %d: %s", id, status, detail)
+			}
+			return nil
+		})
+	}
+	if err := <-two.done; err != nil {
+		t.Error(err)
+	}
+	_ = g.Wait()
+	if parents.Load() == 0 {
+		t.Error("no parent runs at the stopping instance")
+	}
+	two.run()
+}
--- a/front/entry.go
+++ b/front/entry.go
@@ -57,7 +57,7 @@
 		return
 	}
 	defer f.trackInflight()()
-	if f.Closing() && !r.nested {
+	if f.Closing() && !r.nested || f.Ending() {
 		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: minRetryAfter})
 		return
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -87,8 +87,9 @@
 	// Probe probes the instance with the ID and reports whether it answered.
 	Probe func(ctx context.Context, id string) bool
 	// Stopping reports whether the daemon is about to stop: connections are closed after the response.
-	// Closing reports whether only downstream calls of running requests are still forwarded.
-	Stopping, Closing func() bool
+	// Closing reports whether only downstream calls of running requests are still forwarded, Ending
+	// whether those would not end before the daemon does.
+	Stopping, Closing, Ending func() bool
 	// Table chooses instances.
 	Table *route.Table
 	// Gate admits requests to the backend server.
