daemon, store: only the first watcher of a zone confirms the policy at the store

A watch returns a change at once whatever its interval is; the short interval only confirms that there is none, and one daemon a zone can do that for the others, since they ask. The second watcher's watches wait as long as a policy may take, and it asks the first one. Members ask just after the first watcher has confirmed.

Evidence: TestEachWatcherConfirmsAtTheStore failed (3 daemons call the store more often than a watch needs), passes.

--- a/daemon/config_test.go
+++ b/daemon/config_test.go
@@ -58,6 +58,32 @@
 	}
 }
 
+func TestEachWatcherConfirmsAtTheStore(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one := s.add("one")
+	for range 3 {
+		s.add("two")
+	}
+	for _, n := range s.nodes {
+		s.awaitServed(5*time.Second, n, "two")
+	}
+	time.Sleep(watchEnd)
+	for _, n := range s.nodes {
+		n.storeCalls.Store(0)
+	}
+	time.Sleep(2 * applyTimeout)
+	confirming := 0
+	for _, n := range s.nodes {
+		if n.storeCalls.Load() > 3 {
+			confirming++
+		}
+	}
+	if confirming != 1 || one.storeCalls.Load() > 10 {
+		t.Errorf("%d daemons call the store more often than a watch needs, the first one %d times", confirming, one.storeCalls.Load())
+	}
+}
+
 func TestVersionIsLateIfSourcesDoNotRespond(t *testing.T) {
 	s := newHTTPCluster(t)
 	s.configure(7, "two")
--- a/daemon/confirm.go
+++ b/daemon/confirm.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// confirmRatio and policyAgeRatio are ratios of the time within which a policy must be in force:
-	// the interval at which watchers confirm that it is the newest, after which others ask them, and
-	// the age from which a daemon reads the store itself. The rest is for that read.
+	// confirmRatio, askRatio and policyAgeRatio are ratios of the time within which a policy must be in
+	// force: the interval at which the first watcher of a zone confirms that it is the newest, the age
+	// from which others ask, just after it has, and the age from which a daemon reads the store itself.
+	// The rest is for that read.
 	confirmRatio   = 0.4
+	askRatio       = 0.45
 	policyAgeRatio = 0.6
 	// askInterval is the interval at which a daemon asks watchers until one confirms the policy.
 	askInterval = 100 * time.Millisecond
@@ -60,12 +62,12 @@
 	var reads errgroup.Group
 	reads.SetLimit(maxConfirmReads)
 	retry := confirmRetryDelay
-	askWindow := scale(d.cfg.PolicyDelay, policyAgeRatio-confirmRatio)
+	askWindow := scale(d.cfg.PolicyDelay, policyAgeRatio-askRatio)
 	for asked := 0; ; {
 		wait := d.confirmed.Remaining()
 		switch {
 		case wait > askWindow:
-			retry = confirmRetryDelay
+			retry, asked = confirmRetryDelay, 0
 			wait -= askWindow
 		case wait > 0:
 			retry = confirmRetryDelay
@@ -86,7 +88,7 @@
 	}
 }
 
-// askWatcher asks one of the watchers of this zone for its revision, another one at
+// askWatcher asks one of the watchers of this zone for its revision, another one for
 // each number.
 func (d *Daemon) askWatcher(ctx context.Context, number int) {
 	watchers := d.otherWatchers()
@@ -163,7 +165,7 @@
 func (d *Daemon) otherWatchers() []zoneMember {
 	list := d.zoneMembers()
 	watchers := list[:min(len(list), d.watchers(len(list)))]
-	rank := slices.IndexFunc(list, func(m zoneMember) bool { return m.id == d.cfg.ID })
+	rank := d.rankIn(list)
 	var others []zoneMember
 	for i := range watchers {
 		if m := watchers[(rank+i)%len(watchers)]; m.id != d.cfg.ID {
@@ -189,11 +191,25 @@
 	return (a + b - 1) / b
 }
 
+// rankIn returns the place of this daemon in zoneMembers.
+func (d *Daemon) rankIn(list []zoneMember) int {
+	return slices.IndexFunc(list, func(m zoneMember) bool { return m.id == d.cfg.ID })
+}
+
 // isWatcher reports whether this daemon watches the policy head.
 func (d *Daemon) isWatcher() bool {
 	list := d.zoneMembers()
-	rank := slices.IndexFunc(list, func(m zoneMember) bool { return m.id == d.cfg.ID })
-	return rank < d.watchers(len(list))
+	return d.rankIn(list) < d.watchers(len(list))
+}
+
+// watchInterval returns the longest time between two responses of a watch. The first
+// watcher of a zone confirms the policy for the others; their watches only have to
+// end before a connection that went silent delays a change.
+func (d *Daemon) watchInterval() time.Duration {
+	if d.rankIn(d.zoneMembers()) == 0 {
+		return scale(d.cfg.PolicyDelay, confirmRatio)
+	}
+	return d.cfg.PolicyDelay
 }
 
 // watchHead applies each version of the policy head, and confirms it, until the
@@ -202,7 +218,7 @@
 	return d.platform.Watch(ctx, store.Watcher{
 		Key:         d.policyKey(),
 		Now:         d.clock,
-		Interval:    scale(d.cfg.PolicyDelay, confirmRatio),
+		Interval:    d.watchInterval,
 		Keep:        d.isWatcher,
 		OnItem:      func(item store.Item, at time.Time) { d.applyHead(ctx, item, at) },
 		OnUnchanged: func(at time.Time) { d.confirmPolicy(d.policyHolder.Revision(), at) },
--- a/store/store.go
+++ b/store/store.go
@@ -184,8 +184,9 @@
 	Key string
 	// Now returns the time of a clock that also runs while the machine is suspended.
 	Now func() time.Time
-	// Interval is the longest time between two of these times while the platform responds.
-	Interval time.Duration
+	// Interval returns the longest time between two of these times while the platform responds. It is
+	// called before each watch call.
+	Interval func() time.Duration
 	// Keep is called before each watch call; the watch ends if it returns false.
 	Keep func() bool
 	// OnItem is called with the current item and then with the item after each observed change. It
@@ -210,7 +211,7 @@
 		}
 		if item.StoreRevision == 0 {
 			// The changes after the item's revision may be compacted, so the next watch may fail too.
-			sleep(ctx, scale(w.Interval, minWaitRatio))
+			sleep(ctx, scale(w.Interval(), minWaitRatio))
 		}
 	}
 }
@@ -220,7 +221,8 @@
 func (c *Client) watchFrom(ctx context.Context, w Watcher, after uint64, current time.Time) (complete bool, err error) {
 	for ctx.Err() == nil && w.Keep() {
 		start := w.Now()
-		wait := max(scale(w.Interval, minWaitRatio), w.Interval-start.Sub(current)).Round(time.Millisecond)
+		interval := w.Interval()
+		wait := max(scale(interval, minWaitRatio), interval-start.Sub(current)).Round(time.Millisecond)
 		events, next, err := c.watchOnce(ctx, w.Key, after, wait)
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
--- a/store/watch_test.go
+++ b/store/watch_test.go
@@ -25,7 +25,7 @@
 	_ = c.Watch(ctx, store.Watcher{
 		Key:      "k",
 		Now:      time.Now,
-		Interval: 10 * time.Millisecond,
+		Interval: func() time.Duration { return 10 * time.Millisecond },
 		Keep:     func() bool { return true },
 		OnItem: func(item store.Item, _ time.Time) {
 			seen = append(seen, item.Revision)
@@ -93,7 +93,7 @@
 	_ = c.Watch(ctx, store.Watcher{
 		Key:      "k",
 		Now:      func() time.Time { return now },
-		Interval: time.Second,
+		Interval: func() time.Duration { return time.Second },
 		Keep:     func() bool { return true },
 		OnItem:   func(store.Item, time.Time) {},
 		OnUnchanged: func(at time.Time) {
