peer: members are exchanged on a new connection

The same cause as that of the late version, elsewhere: exchanges of members took idle connections too. One that has gone silent costs the exchange its timeout, and the next one comes 15 s later, to another peer and perhaps on another silent connection. Idle connections are kept for 10 minutes.

Evidence: TestCallWaitsOnASilentConnection (TestPullWaitsOnASilentConnection with exchanges added) failed before, passes now.

--- a/peer/client.go
+++ b/peer/client.go
@@ -128,6 +128,23 @@
 	return out, nil
 }
 
+// callOnce runs one call on a new connection. It is for rare calls that must not wait until an idle
+// connection that has gone silent times out.
+func callOnce[T any](ctx context.Context, c *Client, addr netip.AddrPort, call func(sycapb.DRPCPeerClient) (T, error)) (T, error) {
+	var zero T
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return zero, err
+	}
+	// The reply is complete; an error here says nothing about it.
+	defer func() { _ = conn.Close() }()
+	out, err := call(sycapb.NewDRPCPeerClient(conn))
+	if err != nil {
+		return zero, &NoResponseError{Addr: addr, Err: err}
+	}
+	return out, nil
+}
+
 // Forward forwards one attempt of a call to the daemon beside a backend server.
 func (c *Client) Forward(ctx context.Context, addr netip.AddrPort, call *sycapb.Call) (*sycapb.Reply, error) {
 	return doCall(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.Reply, error) {
@@ -144,25 +161,16 @@
 
 // Sync exchanges membership entries with a peer.
 func (c *Client) Sync(ctx context.Context, addr netip.AddrPort, req *sycapb.SyncRequest) (*sycapb.SyncReply, error) {
-	return doCall(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.SyncReply, error) {
+	return callOnce(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.SyncReply, error) {
 		return p.Sync(ctx, req)
 	})
 }
 
-// Pull fetches the policy in force at a peer, on a new connection: an idle one may have gone silent,
-// and a policy is late if the call has to time out first.
+// Pull fetches the policy in force at a peer.
 func (c *Client) Pull(ctx context.Context, addr netip.AddrPort, req *sycapb.PullRequest) (*sycapb.PullReply, error) {
-	conn, err := c.dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	// The reply is complete; the error says nothing about it.
-	defer func() { _ = conn.Close() }()
-	r, err := sycapb.NewDRPCPeerClient(conn).Pull(ctx, req)
-	if err != nil {
-		return nil, &NoResponseError{Addr: addr, Err: err}
-	}
-	return r, nil
+	return callOnce(ctx, c, addr, func(p sycapb.DRPCPeerClient) (*sycapb.PullReply, error) {
+		return p.Pull(ctx, req)
+	})
 }
 
 // LocalBurn fetches the burn counts of a peer.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -214,14 +214,17 @@
 	close(*s.silent.Swap(&open))
 }
 
-func TestPullWaitsOnASilentConnection(t *testing.T) {
+func TestCallWaitsOnASilentConnection(t *testing.T) {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var g errgroup.Group
-	p := &peer.Server{OnPull: func(r *sycapb.PullRequest) *sycapb.PullReply { return &sycapb.PullReply{Revision: r.Have + 1} }}
+	p := &peer.Server{
+		OnPull: func(r *sycapb.PullRequest) *sycapb.PullReply { return &sycapb.PullReply{Revision: r.Have + 1} },
+		OnSync: func(*sycapb.SyncRequest) *sycapb.SyncReply { return &sycapb.SyncReply{} },
+	}
 	g.Go(func() error { return p.Serve(ctx, l) })
 	t.Cleanup(func() {
 		stop()
@@ -239,5 +242,10 @@
 			t.Errorf("round %d: %v, %v", round, r, err)
 		}
 		cancel()
+		callCtx, cancel = context.WithTimeout(ctx, time.Second)
+		if _, err := c.Sync(callCtx, s.addr, &sycapb.SyncRequest{}); err != nil {
+			t.Errorf("round %d: %v", round, err)
+		}
+		cancel()
 	}
 }
