--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -308,3 +308,24 @@
 	}
 	two.run()
 }
+
+func TestCallsAreRejectedForGoodAfterASlowPhase(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	if got := two.heartbeat(1, 40, false); got != 200 {
+		t.Fatalf("heartbeat: status %d", got)
+	}
+	two.delay.Store(int64(1300 * time.Millisecond))
+	stop := offerLoad(one, 30, 5*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	stop()
+	two.delay.Store(int64(5 * time.Millisecond))
+	time.Sleep(time.Second)
+	for i := range 20 {
+		if status, _, _ := one.requestWithin(400*time.Millisecond, fmt.Sprintf("after-%d", i)); status != 200 {
+			t.Errorf("request %d after the slow phase: status %d", i, status)
+		}
+	}
+}
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -336,6 +337,11 @@
 
 // request sends one request to the daemon.
 func (n *httpNode) request(id string) (status int, header http.Header, body string) {
+	return n.requestWithin(3*time.Second, id)
+}
+
+// requestWithin sends one request of a caller that waits for timeLeft.
+func (n *httpNode) requestWithin(timeLeft time.Duration, id string) (status int, header http.Header, body string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.outboundAddr+"/x/y", strings.NewReader("b"))
 	if err != nil {
 		n.t.Fatal(err)
@@ -343,7 +349,7 @@
 	req.Host = "h.example"
 	h := platform.Headers()
 	req.Header.Set(h.RequestID, id)
-	req.Header.Set(h.TimeLeft, "3000")
+	req.Header.Set(h.TimeLeft, strconv.FormatInt(timeLeft.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, nil, err.Error()
