bench: the soak has servers that name a limit and say that they leave, and silent connections

New faults: app-limit (with the users' bound of one and a half times the limit and 5 requests in 4 s, counted for instances that had passed the limit on and were neither started nor paused since), leaving in responses during app-drain (no request later than 2 s after an instance passed it on), and store-mute, hop-mute and app-mute, which silence all open connections for good.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -215,7 +215,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.daemon, n.startedAt = p, time.Now()
+	n.daemon, n.startedAt, n.disturbedAt = p, time.Now(), time.Now()
 	return nil
 }
 
@@ -269,6 +269,7 @@
 	status int
 	body   string
 	id     string
+	header http.Header
 }
 
 // send sends one request. A status of 0 means that no complete response arrived.
@@ -292,7 +293,7 @@
 	if err != nil {
 		return callResult{}
 	}
-	return callResult{status: resp.StatusCode, body: string(b), id: resp.Header.Get(names.RequestID)}
+	return callResult{status: resp.StatusCode, body: string(b), id: resp.Header.Get(names.RequestID), header: resp.Header}
 }
 
 // runCaller sends requests to one instance until ctx ends. It reuses its connections as long as the
@@ -305,7 +306,11 @@
 		if i%3 == 0 {
 			path = "/pay/x"
 		}
-		s.checkResult(id, s.send(ctx, h, n.outboundAddr, path, id, "body of "+id))
+		res := s.send(ctx, h, n.outboundAddr, path, id, "body of "+id)
+		s.checkResult(id, res)
+		if res.status == http.StatusOK {
+			s.recordPassed(n, res.header)
+		}
 	}
 	return nil
 }
--- a/bench/soakapp.go
+++ b/bench/soakapp.go
@@ -39,6 +39,7 @@
 	corrupting atomic.Bool
 	running    atomic.Int64
 	http       *http.Client
+	statements statements
 
 	// lifecycleMu is held while a fault stops and restarts the server.
 	lifecycleMu  sync.Mutex
@@ -63,6 +64,7 @@
 	a.id = fmt.Sprintf("i-%s-%d", a.instance.id, a.starts)
 	a.startedAt = time.Now()
 	a.sequence, a.draining, a.leaveAckedAt = 0, false, time.Time{}
+	a.statements.restart()
 	id := a.id
 	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.handle(w, r, id) })}
 	a.server = srv
@@ -165,6 +167,8 @@
 		return
 	}
 	a.checkArrival(r, request)
+	a.checkStatements(request)
+	a.addStatements(h)
 	a.s.recordRun(request, strings.HasPrefix(r.URL.Path, "/pay/"))
 	sleepFor(r.Context(), 5*time.Millisecond+time.Duration(a.extraDelay.Load()))
 	status := a.callLower(r.Context(), request, r.URL.Path)
@@ -242,4 +246,6 @@
 	daemon  *process
 	// startedAt is when the current daemon process was started.
 	startedAt time.Time
+	// disturbedAt is when its last pause ended.
+	disturbedAt time.Time
 }
--- a/bench/soakfault.go
+++ b/bench/soakfault.go
@@ -61,6 +61,10 @@
 	}},
 	{"app-crash", crashServer},
 	{"app-drain", func(ctx context.Context, _ *soak, n *soakInstance, _ time.Duration) { n.server.drain(ctx) }},
+	{"store-mute", func(_ context.Context, s *soak, _ *soakInstance, _ time.Duration) { s.storeProxy.mute() }},
+	{"hop-mute", func(_ context.Context, _ *soak, n *soakInstance, _ time.Duration) { n.inboundProxy.mute() }},
+	{"app-mute", func(_ context.Context, _ *soak, n *soakInstance, _ time.Duration) { n.serverProxy.mute() }},
+	{"app-limit", limitServer},
 	{"app-slow", slowServer},
 	{"app-garble", corruptResponses},
 	{"policy", func(ctx context.Context, s *soak, _ *soakInstance, _ time.Duration) {
@@ -123,6 +127,7 @@
 func pauseDaemon(ctx context.Context, s *soak, n *soakInstance, dur time.Duration) {
 	n.faultMu.Lock()
 	defer n.faultMu.Unlock()
+	defer n.disturbed()
 	s.signal(n, syscall.SIGSTOP)
 	sleepFor(ctx, dur)
 	s.signal(n, syscall.SIGCONT)
@@ -166,6 +171,13 @@
 	n.server.restart(ctx)
 }
 
+// limitServer makes a server name a limit for longer than the time in which it takes effect.
+func limitServer(ctx context.Context, _ *soak, n *soakInstance, dur time.Duration) {
+	n.server.statements.name(soakLimit)
+	sleepFor(ctx, dur+2*limitSpan)
+	n.server.statements.name(0)
+}
+
 func slowServer(ctx context.Context, _ *soak, n *soakInstance, dur time.Duration) {
 	n.server.extraDelay.Store(int64(200 * time.Millisecond))
 	sleepFor(ctx, dur)
--- a/bench/soakproxy.go
+++ b/bench/soakproxy.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	mode  proxyMode
 	conns map[net.Conn]bool
+	// mutedBefore is the time before which accepted connections carry nothing more.
+	mutedBefore time.Time
 }
 
 func newFaultProxy(addr, target netip.AddrPort) (*faultProxy, error) {
@@ -62,6 +64,19 @@
 	}
 }
 
+// mute makes all open connections silent for good. New ones work.
+func (d *faultProxy) mute() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mutedBefore = time.Now()
+}
+
+func (d *faultProxy) isMuted(accepted time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return accepted.Before(d.mutedBefore)
+}
+
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -108,6 +123,7 @@
 }
 
 func (d *faultProxy) handle(ctx context.Context, in net.Conn) {
+	accepted := time.Now()
 	defer d.track(in)()
 	if d.currentMode() == proxyReset {
 		resetConn(in)
@@ -120,19 +136,22 @@
 	}
 	defer d.track(out)()
 	var g errgroup.Group
-	g.Go(func() error { return d.forward(ctx, out, in, false) })
-	g.Go(func() error { return d.forward(ctx, in, out, true) })
+	g.Go(func() error { return d.forward(ctx, accepted, out, in, false) })
+	g.Go(func() error { return d.forward(ctx, accepted, in, out, true) })
 	// The error means that one side closed the connection.
 	_ = g.Wait()
 }
 
-// forward copies one direction of a connection; isResponse is set for that of the responses.
-func (d *faultProxy) forward(ctx context.Context, dst, src net.Conn, isResponse bool) error {
+// forward copies one direction of a connection that was accepted at a time; isResponse is set for that
+// of the responses.
+func (d *faultProxy) forward(ctx context.Context, accepted time.Time, dst, src net.Conn, isResponse bool) error {
 	defer func() { _ = dst.Close() }()
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
 		d.applyMode(ctx, isResponse)
+		for d.isMuted(accepted) && sleepFor(ctx, proxyPollInterval) {
+		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				_ = src.Close()
