httpc, front: an idempotent request that was refused is sent again on an idle connection

A repeated refusal can only be taken for that of the second send on a connection that carried the first, so an idle connection that did not is as safe. A connection remembers the requests that were rejected on it. Non-idempotent requests still get a new connection.

Evidence: TestRefusedIdempotentRequestsNeedNewConnections (41 connections for 40 requests before). TestRepeatedRefusalIsTakenForARefusal covers idempotent requests too: without the key 'request p0 ran 2 times', now once.

--- a/front/ingress.go
+++ b/front/ingress.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -174,7 +175,9 @@
 		return notRunResponse(reasonMoved), admit.NoResponse
 	case named && h.Get(f.Headers.NotRun) != "":
 		resp.Close()
-		f.refusals.add(r.id)
+		if !r.route.Idempotent {
+			f.refusals.add(r.id)
+		}
 		if running, slots, ok := parseLoad(h.Get(f.Headers.Load)); ok && running < slots {
 			return notRunResponse(reasonRejected), admit.RejectedWithCapacity
 		}
@@ -235,12 +238,14 @@
 		// A refusal that names no request may be of an earlier one.
 		return id != r.id && (id != "" || reused && h.Get(f.Headers.NotRun) != "")
 	}
-	req.NewConn = f.refusals.contains(r.id)
+	req.Key = xxhash.Sum64String(r.id)
+	req.IsRejection = func(h http.Header) bool { return h.Get(f.Headers.NotRun) != "" }
 	req.MismatchTimeout = mismatchTimeout
 	if !r.route.Idempotent {
 		req.MaxIdleTime = maxIdleNonIdempotent
 		// The request can't be sent elsewhere, so it waits until its deadline.
 		req.MismatchTimeout = 0
+		req.NewConn = f.refusals.contains(r.id)
 	}
 	return req
 }
--- a/front/refusal_test.go
+++ b/front/refusal_test.go
@@ -58,17 +58,23 @@
 }
 
 func TestRepeatedRefusalIsTakenForARefusal(t *testing.T) {
-	for _, withID := range []bool{true, false} {
-		t.Run(fmt.Sprintf("with ID %t", withID), func(t *testing.T) {
-			cl := newCluster(t, payRoute)
+	for _, c := range []struct {
+		withID, idempotent bool
+	}{{true, false}, {false, false}, {true, true}, {false, true}} {
+		t.Run(fmt.Sprintf("with ID %t, idempotent %t", c.withID, c.idempotent), func(t *testing.T) {
+			cl := newCluster(t, payRoute, viewRoute)
+			method, path := "POST", "/pay/x"
+			if c.idempotent {
+				method, path = "GET", "/view/x"
+			}
 			source, target, other := cl.add("dues"), cl.add("plots"), cl.add("plots")
 			ran := map[string]int{}
 			for _, i := range []*instance{target, other} {
-				i.setHandler((&repeatedRefusals{refused: map[string]bool{}, ran: ran, last: map[net.Conn]string{}, withID: withID}).handle)
+				i.setHandler((&repeatedRefusals{refused: map[string]bool{}, ran: ran, last: map[net.Conn]string{}, withID: c.withID}).handle)
 			}
 			for n := range 40 {
 				id := fmt.Sprintf("p%d", n)
-				got := source.request("POST", "/pay/x", id, "x")
+				got := source.request(method, path, id, "")
 				if got.status == 503 && ran[id] > 0 {
 					t.Errorf("request %s ran and was reported as not run", id)
 				}
@@ -83,6 +89,28 @@
 	}
 }
 
+func TestRefusedIdempotentRequestsNeedNewConnections(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	var refused sync.Map
+	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+		id := r.Header.Get(testHeaders.RequestID)
+		if _, again := refused.LoadOrStore(id, true); !again {
+			refuse(w, id)
+			return true
+		}
+		return respondOK(w, r, body)
+	})
+	for n := range 40 {
+		if got := source.request("GET", "/view/x", fmt.Sprintf("v%d", n), ""); got.status != 200 {
+			t.Errorf("response %+v", got)
+		}
+	}
+	if dials := target.ServerPool.Dials(); dials > 4 {
+		t.Errorf("%d connections to the server for 40 requests, one after the other", dials)
+	}
+}
+
 func TestTruncatedHeaderIsTakenForAResponse(t *testing.T) {
 	for name, head := range map[string]string{
 		"length":    "HTTP/1.1 200 OK\r\nT-Signature: s\r\nContent-Length: 12\r\nT-Request: %s\r\n\r\n",
--- a/front/refusals.go
+++ b/front/refusals.go
@@ -10,9 +10,10 @@
 // refuses some hundred requests per second, and a request waits for some seconds at most.
 const maxRefusals = 4096
 
-// refusals holds the hashed IDs of the latest requests that the local backend server refused. A
-// faulty server may write a refusal again where the next response on the connection is due, so a
-// request that is sent once more under its ID needs a connection that has not carried it.
+// refusals holds the hashed IDs of the latest non-idempotent requests that the local backend server
+// refused. A faulty server may write a refusal again where the next response on a connection is due,
+// so such a request is sent once more on a new connection only. For an idempotent one a connection
+// suffices that has not carried the refusal (httpc.Request.Key).
 type refusals struct {
 	mu sync.Mutex
 	// latest is moved to earlier when it has maxRefusals IDs.
--- a/httpc/conn.go
+++ b/httpc/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -28,6 +29,9 @@
 	// idleTimeoutRatio is the share of the server's announced idle timeout for which a connection is
 	// reused.
 	idleTimeoutRatio = 0.8
+	// maxRejectedKeys is the number of rejected requests that a connection remembers. A request returns
+	// within seconds or not at all.
+	maxRejectedKeys = 256
 )
 
 // pastDeadline is a deadline that makes all reads and writes fail immediately.
@@ -47,6 +51,25 @@
 	// has no bytes to read.
 	rawConn syscall.RawConn
 	noData  bool
+	// rejected is a ring of the keys of the latest requests that were rejected on the connection; next
+	// is the index of the oldest one once it is full.
+	rejected []uint64
+	next     int
+}
+
+// addRejected records the key of a rejected request.
+func (c *conn) addRejected(key uint64) {
+	if len(c.rejected) < maxRejectedKeys {
+		c.rejected = append(c.rejected, key)
+		return
+	}
+	c.rejected[c.next] = key
+	c.next = (c.next + 1) % maxRejectedKeys
+}
+
+// hasRejected reports whether a request with the key was rejected on the connection lately.
+func (c *conn) hasRejected(key uint64) bool {
+	return key != 0 && slices.Contains(c.rejected, key)
 }
 
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -18,6 +18,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,11 +103,11 @@
 	return p.dials.Load()
 }
 
-// takeIdle takes the most recently used idle connection to addr, and returns nil if none was used
-// within maxIdle.
-func (p *Pool) takeIdle(addr netip.AddrPort, maxIdle time.Duration) *conn {
+// takeIdle takes the most recently used idle connection to addr on which no request with the key was
+// rejected, and returns nil if none was used within maxIdle.
+func (p *Pool) takeIdle(addr netip.AddrPort, maxIdle time.Duration, key uint64) *conn {
 	for {
-		c := p.popIdle(addr)
+		c := p.popIdle(addr, key)
 		if c == nil {
 			return nil
 		}
@@ -124,16 +125,17 @@
 	}
 }
 
-func (p *Pool) popIdle(addr netip.AddrPort) *conn {
+func (p *Pool) popIdle(addr netip.AddrPort, key uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.hasRejected(key) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) putIdle(c *conn) {
@@ -219,11 +221,3 @@
 		}
 	}
 }
-
-// getConn returns an idle connection used within maxIdle, or a new one.
-func (p *Pool) getConn(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conn, error) {
-	if c := p.takeIdle(addr, maxIdle); c != nil {
-		return c, nil
-	}
-	return p.dial(ctx, addr)
-}
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -34,6 +34,11 @@
 	MaxIdleTime time.Duration
 	// NewConn sends the request on a new connection.
 	NewConn bool
+	// Key identifies the request, 0 if it need not be. A connection on which a request was rejected does
+	// not carry one with the same key again, since the server may write the rejection a second time.
+	Key uint64
+	// IsRejection, if set, reports by its header whether a response rejects the request.
+	IsRejection func(h http.Header) bool
 	// MaxBuffer is the largest response body that Do buffers, in bytes. Larger ones are left in
 	// Response.Stream; with 0, all are.
 	MaxBuffer int64
@@ -107,15 +112,15 @@
 	if maxIdle <= 0 {
 		maxIdle = maxIdleTime
 	}
-	getConn := p.getConn
-	if req.NewConn {
-		getConn = func(ctx context.Context, addr netip.AddrPort, _ time.Duration) (*conn, error) {
-			return p.dial(ctx, addr)
-		}
+	var c *conn
+	if !req.NewConn {
+		c = p.takeIdle(addr, maxIdle, req.Key)
 	}
-	c, err := getConn(ctx, addr, maxIdle)
-	if err != nil {
-		return nil, err
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, addr); err != nil {
+			return nil, err
+		}
 	}
 	x := &exchange{ctx: ctx, p: p, c: c, req: req}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(pastDeadline) })
@@ -144,6 +149,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if x.req.IsRejection != nil && x.req.IsRejection(resp.Header) {
+		x.c.addRejected(x.req.Key)
+	}
 	return x.readBody(resp)
 }
 
