admit, front: a call that a rate limit leaves room for is admitted whatever the level

A server that named a limit of 0 got no request at all, or went on getting none after it had ended the limit: only a response can end it.

Cause: the level of the gate follows the limit. At a low limit it admits no key of a class with much demand; the ingress then sheds each request before the gate, so no response comes, and the demand that closed the level fades by a tenth a second.

The set-up that several tests of daemon shared is newPair and setSlots; their checks are unchanged. The test of confirmations starts its node through a group.

--- a/admit/rate.go
+++ b/admit/rate.go
@@ -85,6 +85,15 @@
 	g.dispatch(g.cfg.Now())
 }
 
+// HasRate reports whether a rate limit is in force and leaves room for a call that would not have to
+// wait.
+func (g *Gate) HasRate() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Now()
+	return g.rate.perSecond > 0 && g.queue.len() == 0 && g.inflight < g.limit(now) && g.rate.allows(now)
+}
+
 // RateLimit returns the limit in calls per second, 0 for none.
 func (g *Gate) RateLimit() float64 {
 	g.mu.Lock()
--- a/admit/recovery_test.go
+++ b/admit/recovery_test.go
@@ -49,6 +49,9 @@
 	gate   *admit.Gate
 	phases []phase
 	start  time.Time
+	// ranks are the ranks of the calls; callersOnly omits the nested ones.
+	ranks       []uint32
+	callersOnly bool
 
 	mu           sync.Mutex
 	offered, ran map[int]int
@@ -74,12 +77,12 @@
 
 // call makes one call, as an entry that knows the level.
 func (r *recovery) call(ctx context.Context, id action.ID, nested bool) {
-	key := action.KeyOf(uint32(id[0]%4), id)
+	key := action.KeyOf(r.ranks[int(id[0])%len(r.ranks)], id)
 	second := int(time.Since(r.start) / time.Second)
 	r.mu.Lock()
 	r.offered[second]++
 	r.mu.Unlock()
-	if !nested && !r.gate.Level().Admits(key) {
+	if !nested && !r.gate.Level().Admits(key) && !r.gate.HasRate() {
 		return
 	}
 	p, err := r.gate.Acquire(ctx, admit.Call{ID: id, Key: key, Nested: nested, Method: fmt.Sprint(nested), Deadline: time.Now().Add(usualDeadline), QueueTimeout: 100 * time.Millisecond})
@@ -134,7 +137,7 @@
 		r.waitPaused()
 		id := action.ID{byte(n), byte(n >> 8), byte(n >> 16), byte(n * 37)}
 		g.Go(func() error {
-			r.call(ctx, id, n%2 == 0)
+			r.call(ctx, id, n%2 == 0 && !r.callersOnly)
 			return nil
 		})
 	}
@@ -149,7 +152,7 @@
 			rnd := rand.New(rand.NewPCG(seed, 1))
 			r := &recovery{
 				gate:   admit.New(admit.Config{Slots: 34, Mode: admit.Full, Now: time.Now}),
-				phases: drawPhases(rnd), start: time.Now(), offered: map[int]int{}, ran: map[int]int{},
+				phases: drawPhases(rnd), start: time.Now(), ranks: []uint32{0, 1, 2, 3}, offered: map[int]int{}, ran: map[int]int{},
 			}
 			last := time.Duration(0)
 			for _, p := range r.phases {
@@ -164,3 +167,32 @@
 		})
 	}
 }
+
+func TestCallsAreShedAfterTheEndOfALimit(t *testing.T) {
+	for _, limit := range []float64{0, 2, 20, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			r := &recovery{
+				gate:  admit.New(admit.Config{Slots: 34, Mode: admit.Full, Now: time.Now}),
+				start: time.Now(), ranks: []uint32{2}, callersOnly: true, offered: map[int]int{}, ran: map[int]int{},
+			}
+			var g errgroup.Group
+			g.Go(func() error {
+				time.Sleep(2 * time.Second)
+				r.gate.SetRateLimit(limit)
+				time.Sleep(5 * time.Second)
+				r.gate.EndRateLimit()
+				return nil
+			})
+			r.offer(10 * time.Second)
+			_ = g.Wait()
+			for second, least := range map[int]float64{8: 0.98 * float64(r.offered[8]), 9: 0.98 * float64(r.offered[9])} {
+				if ran := float64(r.ran[second]); ran < least {
+					t.Errorf("limit %g: %g calls ran in second %d, want %g at least", limit, ran, second, least)
+				}
+			}
+			if got := r.ran[3] + r.ran[4] + r.ran[5]; got < 1 || float64(got) > 3.1*limit+2 {
+				t.Errorf("limit %g: %d calls ran in 3 s; by second %v", limit, got, r.ran)
+			}
+		})
+	}
+}
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -95,13 +95,8 @@
 }
 
 func TestAcknowledgedDeregistrationIsKept(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
-	if got := two.heartbeat(1, 4, false); got != 200 {
-		t.Fatalf("heartbeat: status %d", got)
-	}
+	_, one, two := newPair(t)
+	two.setSlots(4)
 	if got := two.heartbeat(2, 4, true); got != 200 {
 		t.Fatalf("deregistration: status %d", got)
 	}
@@ -122,14 +117,9 @@
 // A stopping daemon completes the requests in flight, also on connections that
 // stay open, and reports that it is not ready.
 func TestStopCompletesRequestsInFlight(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
+	s, one, two := newPair(t)
 	// There are slots for all requests at once, so that none waits in the queue.
-	if got := two.heartbeat(1, 8, false); got != 200 {
-		t.Fatalf("heartbeat: status %d", got)
-	}
+	two.setSlots(8)
 	two.delay.Store(int64(400 * time.Millisecond))
 	var g errgroup.Group
 	var succeeded atomic.Int64
@@ -217,17 +207,14 @@
 	two.run()
 }
 
-// Requests that come late in a planned stop take long to run. Each one that a
-// server began to run must get its response.
+// Each request that a server began to run in a stop must get its response.
 func TestLateRequestsOfAStopAreCut(t *testing.T) {
 	s := newHTTPCluster(t)
 	s.stopDelay = time.Second
 	s.configure(7, "two")
 	one, two := s.add("one"), s.add("two")
 	s.awaitServed(5*time.Second, one, "two")
-	if got := two.heartbeat(1, 40, false); got != 200 {
-		t.Fatalf("heartbeat: status %d", got)
-	}
+	two.setSlots(40)
 	two.delay.Store(int64(900 * time.Millisecond))
 	for _, stopping := range []*httpNode{one, two} {
 		var g errgroup.Group
@@ -310,13 +297,8 @@
 }
 
 func TestCallsAreRejectedForGoodAfterASlowPhase(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
-	if got := two.heartbeat(1, 40, false); got != 200 {
-		t.Fatalf("heartbeat: status %d", got)
-	}
+	_, one, two := newPair(t)
+	two.setSlots(40)
 	two.delay.Store(int64(1300 * time.Millisecond))
 	stop := offerLoad(one, 30, 5*time.Millisecond)
 	time.Sleep(2 * time.Second)
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -194,6 +194,25 @@
 	return s
 }
 
+// newPair returns a cluster with one instance of each of two services, whose route leads to the
+// second one.
+func newPair(t *testing.T) (s *httpCluster, one, two *httpNode) {
+	t.Helper()
+	s = newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two = s.add("one"), s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	return s, one, two
+}
+
+// setSlots reports the slots of the backend server of n.
+func (n *httpNode) setSlots(slots int) {
+	n.t.Helper()
+	if got := n.heartbeat(1, slots, false); got != http.StatusOK {
+		n.t.Fatalf("heartbeat: status %d", got)
+	}
+}
+
 func (s *httpCluster) serve(at netip.AddrPort, h http.Handler) netip.AddrPort {
 	l, err := net.Listen("tcp", at.String())
 	if err != nil {
--- a/daemon/notice_test.go
+++ b/daemon/notice_test.go
@@ -50,13 +50,8 @@
 }
 
 func TestServerGetsMoreThanTheLimitItNames(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
-	if got := two.heartbeat(1, 60, false); got != 200 {
-		t.Fatalf("heartbeat: status %d", got)
-	}
+	s, one, two := newPair(t)
+	two.setSlots(60)
 	two.delay.Store(int64(50 * time.Millisecond))
 	stop := offerLoad(one, 40, 150*time.Millisecond)
 	defer stop()
@@ -83,10 +78,7 @@
 }
 
 func TestInvalidLimitIsIgnored(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
+	_, one, two := newPair(t)
 	for _, limit := range []string{"", "many", "-3", "NaN", "+Inf", "1e999", "20, 30"} {
 		two.limit.Store(&limit)
 		for i := range 20 {
@@ -98,10 +90,7 @@
 }
 
 func TestServerThatTakesNothingStillGetsARequest(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
+	s, one, two := newPair(t)
 	zero, none := "0", ""
 	two.limit.Store(&zero)
 	stop := offerLoad(one, 10, 5*time.Millisecond)
@@ -117,13 +106,8 @@
 }
 
 func TestServerThatSaysItLeavesGetsRequests(t *testing.T) {
-	s := newHTTPCluster(t)
-	s.configure(7, "two")
-	one, two := s.add("one"), s.add("two")
-	s.awaitServed(5*time.Second, one, "two")
-	if got := two.heartbeat(1, 8, false); got != 200 {
-		t.Fatalf("heartbeat: status %d", got)
-	}
+	s, one, two := newPair(t)
+	two.setSlots(8)
 	two.leaving.Store(true)
 	s.awaitServed(time.Second, one, "two")
 	runs := two.runs.Load()
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"sycamorespread.dev/action"
 	"sycamorespread.dev/admit"
 	"sycamorespread.dev/httpc"
 	"sycamorespread.dev/life"
@@ -81,10 +80,14 @@
 	return resp
 }
 
-// routeLevel returns the admission level of a route at this instance: the strictest of the level of
-// the local gate and those of the route's downstream calls.
-func (f *Front) routeLevel(name string, now time.Time) action.Level {
-	return min(f.Gate.Level(), f.dependencies.Level(name, f.Table, now))
+// admits reports whether this instance admits a request: by the levels of the route's downstream calls
+// and by that of the local gate. A level of the gate that follows a rate limit may be too strict for
+// any call, and only a response can end the limit, so a call that can run at once is admitted.
+func (f *Front) admits(r *request, now time.Time) bool {
+	if !f.dependencies.Level(r.route.Name, f.Table, now).Admits(r.key) {
+		return false
+	}
+	return f.Gate.Level().Admits(r.key) || f.Gate.HasRate()
 }
 
 // rejectReason returns why the local backend server can't run the request, empty if it can.
@@ -111,7 +114,7 @@
 	}
 	arrived := f.Now()
 	f.dependencies.RecordRun(r.route.Name, arrived)
-	if !r.nested && !f.routeLevel(r.route.Name, arrived).Admits(r.key) {
+	if !r.nested && !f.admits(r, arrived) {
 		// The sending Front has not received the current level yet.
 		return notRunResponse(reasonShed)
 	}
--- a/member/confirm_test.go
+++ b/member/confirm_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"sycamorespread.dev/member"
@@ -60,11 +61,11 @@
 	})
 	n.Merge([]*sycapb.MemberEntry{{Id: "b", Addr: "127.0.0.1:2", Incarnation: 1}})
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error)
-	go func() { done <- n.Run(ctx) }()
+	var g errgroup.Group
+	g.Go(func() error { return n.Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
-		if err := <-done; err != nil {
+		if err := g.Wait(); err != nil {
 			t.Error(err)
 		}
 	})
