admit, front: data races of two test fixtures

go test -race reported the counters of load.run (TestRejectionsWithCapacityKeepTheLimit), which its callers share. The fake server of the front tests now also closes connections that it accepts while it is being closed. Checks and bounds are unchanged; no product code is touched.

--- a/admit/faulty_test.go
+++ b/admit/faulty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,8 @@
 func (l load) run() outcome {
 	g := admit.New(admit.Config{Slots: l.slots, Mode: admit.Full, Now: time.Now})
 	rnd := rand.New(rand.NewPCG(3, 4))
+	// mu guards out and running.
+	var mu sync.Mutex
 	var out outcome
 	var group errgroup.Group
 	ctx, cancel := context.WithCancel(context.Background())
@@ -58,17 +61,21 @@
 		counted := time.Since(start) > l.duration/2
 		rank, reject := uint32(rnd.IntN(3)), rnd.Float64() < l.rejectRatio
 		runTime := time.Duration(float64(l.runTime) * (0.5 + rnd.Float64()))
-		if counted {
-			out.requested++
-		}
+		mu.Lock()
+		out.requested += boolToInt(counted)
+		mu.Unlock()
 		id := action.NewID()
 		key := action.KeyOf(rank, id)
 		if !g.Level().Admits(key) {
+			mu.Lock()
 			out.shed += boolToInt(counted)
+			mu.Unlock()
 			continue
 		}
 		group.Go(func() error {
 			permit, err := g.Acquire(ctx, admit.Call{ID: id, Key: key, Method: "get", Deadline: time.Now().Add(time.Second), QueueTimeout: 100 * time.Millisecond})
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
 				out.shed += boolToInt(counted)
 				return nil
@@ -83,7 +90,9 @@
 				return nil
 			}
 			running++
+			mu.Unlock()
 			time.Sleep(runTime)
+			mu.Lock()
 			running--
 			permit.Release(admit.Completed)
 			out.ran += boolToInt(counted)
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -42,6 +42,8 @@
 	g        errgroup.Group
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
+	// closed is set by close; later connections are closed at once.
+	closed bool
 	// handler responds to one request; if it returns false, the connection is closed.
 	handler  func(w net.Conn, r *http.Request, body string) bool
 	runs     atomic.Int64
@@ -73,6 +75,7 @@
 func (s *fakeServer) close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.closed = true
 	for c := range s.conns {
 		_ = c.Close()
 	}
@@ -92,6 +95,9 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = true
+		if s.closed {
+			_ = c.Close()
+		}
 		s.mu.Unlock()
 		s.g.Go(func() error {
 			s.serveConn(c)
