front: refusals and health checks do not end the limit of a backend server

A server that names a limit and refuses three requests without naming it again got all requests until the next response that names it. After a restart of the daemon a health check without the header counted as newer than what the entries know, so their notice of the limit was ignored until the first response.

Cause: each response without the header was taken for one that says that there is no limit. Only the response of a run shows that now. The entries already judged so (peerNotices.update).

TestHealthCheckEndsTheLimit fails with observed set by each response ('limit 0 at the first run'). Ruled out as a risk: a limit that never ends, since calls go on at the named rate and the first runs without it end it.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -258,7 +258,7 @@
 		return
 	}
 	d.serverTracker.HandleProbe(id, d.cfg.Service, slots)
-	d.front.ObserveServer(d.serverTracker.Server(), resp.Header, sentAt)
+	d.front.ObserveServer(front.Observation{Server: d.serverTracker.Server(), Header: resp.Header, SentAt: sentAt})
 }
 
 // closeFront shuts down all HTTP servers gracefully: a request may have arrived
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -166,8 +166,9 @@
 	h := resp.Header
 	id := h.Get(f.Headers.RequestID)
 	signed := h.Get(f.Headers.Signature) != ""
+	notRun := h.Get(f.Headers.NotRun) != ""
 	if id == r.id {
-		f.ObserveServer(s, h, sentAt)
+		f.ObserveServer(Observation{Server: s, Header: h, SentAt: sentAt, Ran: !notRun && resp.Status != http.StatusMisdirectedRequest})
 	}
 	// The first refusal on a connection need not name its request.
 	named := id == r.id || id == "" && !resp.Reused
@@ -176,7 +177,7 @@
 		resp.Close()
 		f.OnServerDown(s.Instance)
 		return notRunResponse(reasonMoved), admit.NoResponse
-	case named && h.Get(f.Headers.NotRun) != "":
+	case named && notRun:
 		resp.Close()
 		if !r.route.Idempotent {
 			f.refusals.add(r.id)
--- a/front/notice.go
+++ b/front/notice.go
@@ -26,9 +26,9 @@
 // serving for some seconds, at times many, before they exit.
 const peerNoticeTTL = time.Minute
 
-// A limit has ended after minUnlimited successive responses without it, or with the first one that
-// arrives minUnlimitedTime after the last response with it. Responses that the server sends around a
-// change may arrive in another order.
+// A limit has ended after minUnlimited successive responses of runs without it, or with the first one
+// that arrives minUnlimitedTime after the last response with it. Responses that the server sends around
+// a change may arrive in another order.
 const (
 	minUnlimited     = 3
 	minUnlimitedTime = time.Second
@@ -115,11 +115,11 @@
 type ownNotice struct {
 	mu sync.Mutex
 	notice
-	// namedAt is when the last response with a limit arrived; unlimited counts the responses without
-	// one to requests sent since.
+	// namedAt is when the last response with a limit arrived; unlimited counts the responses of runs
+	// without one to requests sent since.
 	namedAt   time.Time
 	unlimited int
-	// observed is set once a response of this start of the server arrived.
+	// observed is set once a response of this start of the server showed its limit or that it has none.
 	observed bool
 	// invalid is the last invalid limit, which is logged once.
 	invalid string
@@ -144,9 +144,21 @@
 	return changed
 }
 
-// observeLimit updates the limit with the value in a response to a request that was sent at a time,
-// and reports whether the limit changed. The caller must hold o.mu.
-func (o *ownNotice) observeLimit(value string, sentAt, now time.Time) (bool, error) {
+// Observation is a response of the local backend server.
+type Observation struct {
+	// Server is the start of the server that responded.
+	Server life.Server
+	Header http.Header
+	SentAt time.Time
+	// Ran is set if the server ran the request. Responses to health checks and refusals may omit a
+	// limit that is in force.
+	Ran bool
+}
+
+// observeLimit updates the limit with the value in a response, and reports whether the limit changed.
+// The caller must hold o.mu.
+func (o *ownNotice) observeLimit(value string, ob Observation, now time.Time) (bool, error) {
+	o.observed = o.observed || ob.Ran || value != ""
 	if value != "" {
 		limit, err := parseLimit(value)
 		if err != nil {
@@ -155,7 +167,7 @@
 		o.namedAt, o.unlimited = now, 0
 		return o.setLimit(true, limit), nil
 	}
-	if !o.limited || sentAt.Before(o.namedAt) {
+	if !o.limited || !ob.Ran || ob.SentAt.Before(o.namedAt) {
 		return false, nil
 	}
 	o.unlimited++
@@ -165,9 +177,9 @@
 	return o.setLimit(false, 0), nil
 }
 
-// ObserveServer updates the state of the backend server with the header of one of its responses, to
-// a request that was sent at the given time.
-func (f *Front) ObserveServer(s life.Server, h http.Header, sentAt time.Time) {
+// ObserveServer updates the state of the backend server with the header of one of its responses.
+func (f *Front) ObserveServer(ob Observation) {
+	s, h := ob.Server, ob.Header
 	o := &f.notice
 	o.mu.Lock()
 	if !(notice{instance: s.Instance, startedAt: s.StartedAt}).isOf(f.Server()) {
@@ -176,9 +188,8 @@
 		return
 	}
 	o.reset(s)
-	o.observed = true
 	value := h.Get(f.Headers.Limit)
-	changed, err := o.observeLimit(value, sentAt, f.Now())
+	changed, err := o.observeLimit(value, ob, f.Now())
 	if changed {
 		f.applyLimit(o.notice, "response")
 	}
--- a/front/notice_test.go
+++ b/front/notice_test.go
@@ -5,7 +5,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"sycamorespread.dev/front"
 )
 
 // respondWithLimit returns a handler whose responses name a limit, none if it is
@@ -68,6 +72,42 @@
 	}
 }
 
+func TestHealthCheckEndsTheLimit(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	target := cl.add("plots")
+	target.ObserveServer(front.Observation{Server: target.keeper.Server(), Header: http.Header{}, SentAt: time.Now()})
+	limitAtRun := 0.0
+	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+		limitAtRun = target.gate.RateLimit()
+		return respondWithLimit("20")(w, r, body)
+	})
+	hopRequestWithNotice(t, target, idempotentFlag, "s-"+target.id+"|1000000|20|0")
+	if limitAtRun != 20 {
+		t.Errorf("limit %g at the first run after a health check that does not name it", limitAtRun)
+	}
+}
+
+func TestRefusalEndsTheLimit(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	target.setHandler(respondWithLimit("20"))
+	if got := source.request("GET", "/view/x", "r1", ""); got.status != 200 {
+		t.Fatalf("response %+v", got)
+	}
+	var refused atomic.Int64
+	target.setHandler(func(w net.Conn, r *http.Request, _ string) bool {
+		refused.Add(1)
+		refuse(w, r.Header.Get(testHeaders.RequestID))
+		return true
+	})
+	for n := 0; refused.Load() < 6; n++ {
+		source.request("GET", "/view/x", fmt.Sprintf("refused-%d", n), "")
+		if got := target.gate.RateLimit(); got != 20 {
+			t.Fatalf("limit %g after %d refusals that do not name it", got, refused.Load())
+		}
+	}
+}
+
 func TestCallerTellsTheDaemonWhatItKnows(t *testing.T) {
 	cl := newCluster(t, viewRoute)
 	source, target := cl.add("dues"), cl.add("plots")
