daemon: a pull at the start is not taken for an announcement

Cause: a daemon without a policy asks a member at its start, through the same function as an announcement of revision 1. It only offers the source to the puller now, and a member without a policy is logged as such, not as a warning. No decision changes.

Evidence: TestStartWarnsOfAPull failed (both lines at one or both of two daemons), passes.

--- a/daemon/config_test.go
+++ b/daemon/config_test.go
@@ -170,3 +170,22 @@
 		_ = g.Wait()
 	}
 }
+
+func TestStartWarnsOfAPull(t *testing.T) {
+	s := newHTTPCluster(t)
+	one := s.add("one")
+	s.add("two")
+	time.Sleep(time.Second)
+	s.configure(7, "two")
+	s.awaitServed(5*time.Second, one, "two")
+	for _, n := range s.nodes {
+		for _, e := range n.log.Load().AllEntries() {
+			if e.Message == "pull from peer returned no newer policy" {
+				t.Errorf("%s: no peer has announced a policy: %v", n.id, e.Data)
+			}
+			if ms, ok := e.Data["announced_ms"].(int64); ok && ms > 500 {
+				t.Errorf("%s: announced %d ms before it was written", n.id, ms)
+			}
+		}
+	}
+}
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/config"
@@ -174,6 +175,8 @@
 	leaving, healthLeaving atomic.Bool
 	mu                     sync.Mutex
 	ranAt                  []time.Time
+	// log holds the log entries of the latest process.
+	log atomic.Pointer[logtest.Hook]
 	// storeCalls counts the calls to the store.
 	storeCalls atomic.Int64
 }
@@ -311,8 +314,8 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, hook := logtest.NewNullLogger()
+	n.log.Store(hook)
 	d, err := daemon.New(cfg, logrus.NewEntry(log), daemon.Adapter{
 		StoreTransport: platform.NewTransport, PolicyKey: platform.PolicyKey, DecodePolicy: platform.DecodePolicy, Headers: platform.Headers(),
 		HeartbeatHandler: func(b daemon.HeartbeatSink) http.Handler { return platform.HeartbeatHandler(platform.HeartbeatSink(b)) },
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -165,7 +165,7 @@
 	d.routesChanged()
 	if addrs := d.knownAddrs(); d.policyHolder.Policy() == nil && len(addrs) > 0 {
 		// Pulling the policy from a member saves a read from the store.
-		d.requestPull(addrs[rand.IntN(len(addrs))], 1)
+		d.puller.offer(pullSource{addr: addrs[rand.IntN(len(addrs))], revision: anyRevision})
 	}
 }
 
--- a/daemon/pull.go
+++ b/daemon/pull.go
@@ -23,6 +23,8 @@
 	// maxPulls bounds the pulls in flight, maxPullSources the sources that are remembered.
 	maxPulls       = 4
 	maxPullSources = 16
+	// anyRevision is the lowest revision, for a pull from a peer that has not announced one.
+	anyRevision = 1
 )
 
 // pullSource is a peer that has a newer policy, with its revision.
@@ -152,8 +154,13 @@
 	defer cancel()
 	start := d.clock()
 	r, err := d.peers.Pull(ctx, src.addr, &sycapb.PullRequest{Have: have})
+	took := d.clock().Sub(start)
+	if err == nil && r.Revision == 0 {
+		d.log.WithFields(logrus.Fields{"peer": src.addr, "ms": took.Milliseconds()}).Info("peer has no policy yet")
+		return
+	}
 	if err != nil || r.Revision <= have {
-		d.log.WithFields(logrus.Fields{"peer": src.addr, "announced": src.revision, "ms": d.clock().Sub(start).Milliseconds(), "err": err}).Warn("pull from peer returned no newer policy")
+		d.log.WithFields(logrus.Fields{"peer": src.addr, "announced": src.revision, "ms": took.Milliseconds(), "err": err}).Warn("pull from peer returned no newer policy")
 		return
 	}
 	p, err := d.decodePulled(r)
