front: requests of callers that have left are not sent

Cause: that daemon has no descriptors left ('accept4: too many open files; retrying in 1s', at debug level), so connections wait to be accepted for over a second, and their callers leave. The request is still in the socket. net/http cancels its context once it reads the end of the connection, a moment after the handler has started; by then the request has been sent. A daemon that was suspended does the same with all that waited.

Each request looks at its connection once before it is forwarded or run, without reading: a system call a request. That the daemon runs out of descriptors remains.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -155,6 +155,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idle,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       front.ConnContext,
 		ErrorLog:          stdlog.New(debugWriter{d.log}, "", 0),
 	}
 }
--- a/front/entry.go
+++ b/front/entry.go
@@ -61,6 +61,10 @@
 		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: minRetryAfter})
 		return
 	}
+	if peerLeft(hr.Context()) {
+		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonCanceled})
+		return
+	}
 	resp, reply := f.forward(hr.Context(), r)
 	if resp == nil {
 		f.notifyServed(r, false)
