front, daemon: callers that have left are looked for after a failure to accept only

A request waits to be read, in the case found, because the daemon could not accept its connection. The listeners report that now: a warning once a second, since net/http told it at debug level only, and requests are checked for 5 s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -119,6 +119,7 @@
 	serverDown   atomic.Bool
 	joined       atomic.Bool
 	inflight     atomic.Int64
+	acceptLog    rate.Sometimes
 	routesStale  chan struct{}
 	puller       *puller
 	udpSocket    *net.UDPConn
@@ -154,6 +155,7 @@
 		runs:         newRuns(),
 		dependencies: newDependencySet(),
 		clock:        suspendClock,
+		acceptLog:    rate.Sometimes{Interval: acceptLogInterval},
 		suspectSem:   make(chan struct{}, 1),
 		routesStale:  make(chan struct{}, 1),
 	}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -121,7 +121,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on tcp %s", s.Addr)
 		}
-		d.httpServers = append(d.httpServers, boundServer{Server: s, l: l})
+		d.httpServers = append(d.httpServers, boundServer{Server: s, l: acceptListener{Listener: l, onFailure: d.acceptFailed}})
 	}
 	return nil
 }
--- a/front/entry.go
+++ b/front/entry.go
@@ -61,7 +61,7 @@
 		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: minRetryAfter})
 		return
 	}
-	if peerLeft(hr.Context()) {
+	if f.peerLeft(hr.Context()) {
 		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonCanceled})
 		return
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -124,6 +124,8 @@
 	notice       ownNotice
 	peerNotices  *peerNotices
 	refusals     *refusals
+	// acceptFailedAt is when a connection could not be accepted last, nil if none.
+	acceptFailedAt atomic.Pointer[time.Time]
 	// probes holds the probes of peers in flight.
 	probes errgroup.Group
 }
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -44,7 +44,7 @@
 	}
 	req.length = r.ContentLength
 	req.body, req.stream, err = readBody(r.Body, r.ContentLength)
-	if err != nil || peerLeft(r.Context()) {
+	if err != nil || f.peerLeft(r.Context()) {
 		notRunResponse(reasonCanceled).writeHop(w)
 		return
 	}
--- a/front/left.go
+++ b/front/left.go
@@ -4,11 +4,16 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
+// acceptBacklogTime is how long after a failure to accept a connection some of those that had to wait
+// may still be accepted.
+const acceptBacklogTime = 5 * time.Second
+
 // connKey is the context key of the connection that carries a request.
 type connKey struct{}
 
@@ -27,11 +32,20 @@
 	return context.WithValue(ctx, connKey{}, raw)
 }
 
-// peerLeft reports whether the peer has closed the connection of a request. The context of the request
-// is canceled a moment later, while the request may be on its way to a backend server: it may have
-// waited to be read for seconds, if the process was suspended or had no descriptor to accept the
-// connection.
-func peerLeft(ctx context.Context) bool {
+// AcceptFailed reports that a connection could not be accepted, so that some wait.
+func (f *Front) AcceptFailed() {
+	now := f.Now()
+	f.acceptFailedAt.Store(&now)
+}
+
+// peerLeft reports whether the peer has closed the connection of a request, if connections had to wait
+// to be accepted lately. The context of the request is canceled a moment later, while the request may
+// be on its way to a backend server.
+func (f *Front) peerLeft(ctx context.Context) bool {
+	failedAt := f.acceptFailedAt.Load()
+	if failedAt == nil || f.Now().Sub(*failedAt) > acceptBacklogTime {
+		return false
+	}
 	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
 	if !ok {
 		return false
--- a/front/left_test.go
+++ b/front/left_test.go
@@ -35,6 +35,7 @@
 			t.Fatal(err)
 		}
 	}
+	local.AcceptFailed()
 	s := &http.Server{Handler: local.Outbound(), ConnContext: front.ConnContext, ReadHeaderTimeout: time.Second}
 	var g errgroup.Group
 	g.Go(func() error {
