--- a/bench/soak.go
+++ b/bench/soak.go
@@ -245,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.client.Put(ctx, platform.PolicyKey, []byte(text), item.Revision, 0)
+	_, err = s.client.Put(ctx, platform.PolicyKey, []byte(text), item.Revision, store.Lease{})
 	return err
 }
 
--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -26,14 +26,14 @@
 
 // claimLease is the store lease that new claims are attached to.
 type claimLease struct {
-	id        uint64
+	id        store.Lease
 	grantedAt time.Time
 }
 
 // claim is the record in the store that binds an idempotency key to a ticket.
 type claim struct {
 	storeKey string
-	revision uint64
+	revision store.Revision
 	ticket   []byte
 	// created is true if this daemon has just written the claim, false if the claim was there already.
 	created bool
@@ -49,7 +49,7 @@
 		return action.EmptyReply(o.call, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_PLATFORM, "claims need the platform, which the settings do not name; open a ticket instead")
 	}
 	storeKey := "claim/" + o.call.Service + "." + o.call.Method + "/" + key
-	cl, refusal := d.acquireClaim(ctx, o, storeKey, 0)
+	cl, refusal := d.acquireClaim(ctx, o, storeKey, store.Revision{})
 	if refusal != nil {
 		return refusal
 	}
@@ -81,9 +81,9 @@
 	return d.forward(ctx, o)
 }
 
-// acquireClaim writes a claim with a new ticket over baseRevision, or returns
+// acquireClaim writes a claim with a new ticket over the revision base, or returns
 // the claim that another entry wrote.
-func (d *Daemon) acquireClaim(ctx context.Context, o *outbound, storeKey string, baseRevision uint64) (*claim, *sycapb.Reply) {
+func (d *Daemon) acquireClaim(ctx context.Context, o *outbound, storeKey string, base store.Revision) (*claim, *sycapb.Reply) {
 	refuse := func(reason sycapb.Reason, err error) (*claim, *sycapb.Reply) {
 		return nil, action.EmptyReply(o.call, sycapb.Outcome_OUTCOME_NOTRUN, reason, err.Error())
 	}
@@ -102,7 +102,7 @@
 	if err != nil {
 		return refuse(sycapb.Reason_REASON_INVALID, err)
 	}
-	item, err := d.putClaim(ctx, storeKey, b, baseRevision, lease)
+	item, err := d.putClaim(ctx, storeKey, b, base, lease)
 	if err != nil {
 		return refuse(sycapb.Reason_REASON_PLATFORM, err)
 	}
@@ -123,11 +123,11 @@
 	return limit
 }
 
-// putClaim writes a claim over baseRevision and returns the claim that is then
+// putClaim writes a claim over the revision base and returns the claim that is then
 // in the store. If the write fails it reads the claim back, since the write may
 // have taken effect.
-func (d *Daemon) putClaim(ctx context.Context, storeKey string, value []byte, baseRevision, lease uint64) (store.Item, error) {
-	put, err := d.platform.Put(ctx, storeKey, value, baseRevision, lease)
+func (d *Daemon) putClaim(ctx context.Context, storeKey string, value []byte, base store.Revision, lease store.Lease) (store.Item, error) {
+	put, err := d.platform.Put(ctx, storeKey, value, base, lease)
 	if err == nil {
 		if put.LeaseExpired {
 			d.dropLease(lease)
@@ -139,30 +139,30 @@
 	if readErr != nil {
 		return store.Item{}, err
 	}
-	if item.Revision <= baseRevision {
+	if item.Revision.Number <= base.Number {
 		return store.Item{}, err
 	}
 	return item, nil
 }
 
 // claimLease returns a lease that lasts for at least claimTTL.
-func (d *Daemon) claimLease(ctx context.Context) (uint64, error) {
+func (d *Daemon) claimLease(ctx context.Context) (store.Lease, error) {
 	d.leaseMu.Lock()
 	defer d.leaseMu.Unlock()
 	requestedAt := time.Now()
-	if d.lease.id != 0 && requestedAt.Sub(d.lease.grantedAt) < claimLeaseReuse {
+	if d.lease.id.ID != 0 && requestedAt.Sub(d.lease.grantedAt) < claimLeaseReuse {
 		return d.lease.id, nil
 	}
 	id, err := d.platform.Grant(ctx, claimTTL+2*claimLeaseReuse)
 	if err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
 	d.lease = claimLease{id: id, grantedAt: requestedAt}
 	return id, nil
 }
 
 // dropLease makes the next claim request a new lease.
-func (d *Daemon) dropLease(id uint64) {
+func (d *Daemon) dropLease(id store.Lease) {
 	d.leaseMu.Lock()
 	defer d.leaseMu.Unlock()
 	if d.lease.id == id {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -192,9 +192,17 @@
 		return
 	}
 	d.platform = store.New(d.adapter.StoreTransport(d.cfg.PlatformAddr), store.RateLimits{Reads: d.cfg.ReadRate, Writes: d.cfg.WriteRate})
+	d.platform.OnRestored = d.logRestore
 	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now, Sleep: sleep}
 }
 
+// logRestore logs that the store was restored from a copy.
+func (d *Daemon) logRestore(from, to uint64) {
+	revision := d.policyHolder.Revision()
+	age, known := d.confirmed.Age(revision)
+	d.log.WithFields(logrus.Fields{"era": to, "before": from, "revision": revision, "known": known, "age_ms": age.Milliseconds()}).Warn("platform store was restored from a copy")
+}
+
 func (d *Daemon) listen() error {
 	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.cfg.Addr))
 	if err != nil {
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -66,7 +66,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.items[key] = store.Item{Key: key, Value: []byte(value), Revision: s.revision}
+	s.items[key] = store.Item{Key: key, Value: []byte(value), Revision: store.Revision{Number: s.revision}}
 }
 
 func (s *fakeStore) transport() store.Transport {
@@ -77,7 +77,7 @@
 			}
 			defer s.mu.Unlock()
 			it := s.items[key]
-			it.StoreRevision = s.revision
+			it.StoreRevision = store.Revision{Number: s.revision}
 			return it, nil
 		},
 		Range: func(_ context.Context, prefix, _ string, _ bool) (store.Page, error) {
@@ -93,24 +93,24 @@
 			}
 			return p, nil
 		},
-		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+		Watch: func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 			for start := time.Now(); ; {
 				if err := s.lockAvailable(); err != nil {
-					return nil, 0, err
+					return nil, store.Revision{}, err
 				}
-				it, now, deaf := s.items[prefix], s.revision, s.deaf
+				it, now, deaf := s.items[prefix], store.Revision{Number: s.revision}, s.deaf
 				s.mu.Unlock()
 				switch {
-				case deaf && now > after:
+				case deaf && now.Number > after.Number:
 					return nil, now, nil
-				case it.Revision > after:
+				case it.Revision.Number > after.Number:
 					return []store.Event{{Item: it}}, now, nil
 				case time.Since(start) > wait:
 					return nil, now, nil
 				}
 				select {
 				case <-ctx.Done():
-					return nil, 0, ctx.Err()
+					return nil, store.Revision{}, ctx.Err()
 				case <-time.After(10 * time.Millisecond):
 				}
 			}
@@ -124,11 +124,13 @@
 				return store.WriteResult{Item: s.items[c.Key]}, nil
 			}
 			s.revision++
-			s.items[c.Key] = store.Item{Key: c.Key, Value: c.Value, Revision: s.revision}
+			s.items[c.Key] = store.Item{Key: c.Key, Value: c.Value, Revision: store.Revision{Number: s.revision}}
 			return store.WriteResult{Swapped: true, Item: s.items[c.Key]}, nil
 		},
-		Grant: func(context.Context, time.Duration) (uint64, error) { return 1, s.checkAvailable() },
-		Renew: func(context.Context, uint64) (bool, error) { return true, s.checkAvailable() },
+		Grant: func(context.Context, time.Duration) (store.Lease, error) {
+			return store.Lease{ID: 1}, s.checkAvailable()
+		},
+		Renew: func(context.Context, uint64) (bool, uint64, error) { return true, 0, s.checkAvailable() },
 	}
 }
 
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -17,6 +17,7 @@
 	"sycamorespread.dev/route"
 	"sycamorespread.dev/seed"
 	"sycamorespread.dev/server"
+	"sycamorespread.dev/store"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -240,8 +241,8 @@
 
 // renewSeed renews the lease of the seed record, or writes the record with a new
 // lease if the old one has expired. It returns the lease.
-func (d *Daemon) renewSeed(ctx context.Context, lease uint64) (uint64, error) {
-	if lease != 0 {
+func (d *Daemon) renewSeed(ctx context.Context, lease store.Lease) (store.Lease, error) {
+	if lease.ID != 0 {
 		alive, err := d.platform.Renew(ctx, lease)
 		if err != nil || alive {
 			return lease, err
@@ -249,23 +250,23 @@
 	}
 	lease, err := d.platform.Grant(ctx, seed.LeaseTTL)
 	if err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
 	key := seedPrefix + d.cfg.Region + "/" + d.cfg.Zone + "/" + d.cfg.ID
 	b, err := proto.Marshal(d.node.Self())
 	if err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
-	put, err := d.platform.Put(ctx, key, b, 0, lease)
-	if err == nil && !put.Swapped && put.Item.Revision != 0 {
+	put, err := d.platform.Put(ctx, key, b, store.Revision{}, lease)
+	if err == nil && !put.Swapped && put.Item.Revision.Number != 0 {
 		// The seed record of this daemon's previous process still exists.
 		put, err = d.platform.Put(ctx, key, b, put.Item.Revision, lease)
 	}
 	if err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
 	if !put.Swapped {
-		return 0, &SeedError{Key: key, LeaseExpired: put.LeaseExpired}
+		return store.Lease{}, &SeedError{Key: key, LeaseExpired: put.LeaseExpired}
 	}
 	return lease, nil
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -364,6 +364,7 @@
 		values["platform.reads"] = float64(c.Reads)
 		values["platform.writes"] = float64(c.Writes)
 		values["platform.watches"] = float64(c.Watches)
+		values["platform.era"] = float64(d.platform.Era())
 	}
 	if d.front != nil {
 		values["front.dials_server"] = float64(d.serverPool.Dials())
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -97,7 +97,7 @@
 	have := d.policyHolder.Revision()
 	if head.Revision < have {
 		d.stats.StaleHead()
-		d.log.WithFields(logrus.Fields{"head": head.Revision, "in_force": have}).Error("stored policy head is older than the policy in force")
+		d.log.WithFields(logrus.Fields{"head": head.Revision, "in_force": have, "era": item.Revision.Era}).Error("stored policy head is older than the policy in force")
 		return
 	}
 	if head.Revision == have {
@@ -120,17 +120,17 @@
 
 // applyOperatorPolicy applies the policy that the operator keeps in the store.
 func (d *Daemon) applyOperatorPolicy(item store.Item, at time.Time) {
-	if item.Revision == 0 {
+	if item.Revision.Number == 0 {
 		return
 	}
 	p, err := d.adapter.DecodePolicy(string(item.Value))
 	if err != nil {
-		d.log.WithFields(logrus.Fields{"stored": item.Revision, "err": err}).Error("decode operator policy failed")
+		d.log.WithFields(logrus.Fields{"stored": item.Revision.Number, "era": item.Revision.Era, "err": err}).Error("decode operator policy failed")
 		return
 	}
 	if have := d.policyHolder.Revision(); p.Revision < have {
 		d.stats.StaleHead()
-		d.log.WithFields(logrus.Fields{"stored": p.Revision, "in_force": have}).Error("stored policy is older than the policy in force")
+		d.log.WithFields(logrus.Fields{"stored": p.Revision, "in_force": have, "era": item.Revision.Era}).Error("stored policy is older than the policy in force")
 		return
 	}
 	d.applyPolicy(p, sourcePlatform)
--- a/policy/registry.go
+++ b/policy/registry.go
@@ -34,7 +34,7 @@
 type Registry struct {
 	// Get reads a key and Put is a compare-and-swap write.
 	Get func(ctx context.Context, key string) (store.Item, error)
-	Put func(ctx context.Context, key string, value []byte, base, lease uint64) (store.WriteResult, error)
+	Put func(ctx context.Context, key string, value []byte, base store.Revision, lease store.Lease) (store.WriteResult, error)
 	// Now returns the time for the creation dates of changes.
 	Now func() time.Time
 	// Sleep waits between the attempts of an accept; it returns false if ctx has ended.
@@ -94,17 +94,17 @@
 		BaseChange:    head.ChangeId,
 		CreatedUnixMs: r.Now().UnixMilli(),
 	}
-	return c, r.write(ctx, c, 0)
+	return c, r.write(ctx, c, store.Revision{})
 }
 
 // write stores a change if its item still has the revision base. If the response
 // is lost, it reads the change back to determine the outcome.
-func (r *Registry) write(ctx context.Context, c *sycapb.Change, base uint64) error {
+func (r *Registry) write(ctx context.Context, c *sycapb.Change, base store.Revision) error {
 	b, err := proto.Marshal(c)
 	if err != nil {
 		return errors.Wrapf(err, "encode change %s", c.Id)
 	}
-	put, err := r.Put(ctx, changePrefix+c.Id, b, base, 0)
+	put, err := r.Put(ctx, changePrefix+c.Id, b, base, store.Lease{})
 	if err == nil {
 		if !put.Swapped {
 			return &ConflictError{AcceptedID: c.Id}
@@ -118,25 +118,25 @@
 	return err
 }
 
-func (r *Registry) change(ctx context.Context, id string) (*sycapb.Change, uint64, error) {
+func (r *Registry) change(ctx context.Context, id string) (*sycapb.Change, store.Revision, error) {
 	item, err := r.Get(ctx, changePrefix+id)
 	if err != nil {
-		return nil, 0, err
+		return nil, store.Revision{}, err
 	}
-	if item.Revision == 0 {
-		return nil, 0, &RejectedError{Problem: fmt.Sprintf("change %q does not exist", id)}
+	if item.Revision.Number == 0 {
+		return nil, store.Revision{}, &RejectedError{Problem: fmt.Sprintf("change %q does not exist", id)}
 	}
 	c := new(sycapb.Change)
 	if err := proto.Unmarshal(item.Value, c); err != nil {
-		return nil, 0, errors.Wrapf(err, "decode change %s", id)
+		return nil, store.Revision{}, errors.Wrapf(err, "decode change %s", id)
 	}
 	return c, item.Revision, nil
 }
 
-func (r *Registry) head(ctx context.Context) (*sycapb.Head, uint64, error) {
+func (r *Registry) head(ctx context.Context) (*sycapb.Head, store.Revision, error) {
 	item, err := r.Get(ctx, HeadKey)
 	if err != nil {
-		return nil, 0, err
+		return nil, store.Revision{}, err
 	}
 	h, err := ParseHead(item.Value)
 	return h, item.Revision, err
@@ -216,7 +216,7 @@
 		return true, errors.Wrap(err, "encode the policy head")
 	}
 	*sent = true
-	put, err := r.Put(ctx, HeadKey, b, version, 0)
+	put, err := r.Put(ctx, HeadKey, b, version, store.Lease{})
 	if err != nil {
 		return false, err
 	}
--- a/policy/registry_test.go
+++ b/policy/registry_test.go
@@ -34,7 +34,7 @@
 // which requests and responses are lost.
 type fakePlatform struct {
 	items   map[string]store.Item
-	version uint64
+	version store.Revision
 	calls   chan *pendingCall
 }
 
@@ -68,7 +68,7 @@
 			}
 			return f.item(key), nil
 		},
-		Put: func(_ context.Context, key string, value []byte, base, _ uint64) (store.WriteResult, error) {
+		Put: func(_ context.Context, key string, value []byte, base store.Revision, _ store.Lease) (store.WriteResult, error) {
 			d := f.schedule(scheduled, true)
 			lost := &store.UnavailableError{Op: "put", Key: key, MaybeWritten: true, Err: errors.New("lost")}
 			if d == requestLost {
@@ -76,7 +76,7 @@
 			}
 			result := store.WriteResult{Item: f.item(key)}
 			if result.Item.Revision == base {
-				f.version++
+				f.version.Number++
 				f.items[key] = store.Item{Key: key, Value: value, Revision: f.version}
 				result = store.WriteResult{Swapped: true, Item: f.item(key)}
 			}
@@ -232,7 +232,7 @@
 		t.Fatal(err)
 	}
 	third := proposeAndReview(t, r, 3)
-	f.items[policy.HeadKey] = store.Item{Key: policy.HeadKey, Value: backup.Value, Revision: 1000}
+	f.items[policy.HeadKey] = store.Item{Key: policy.HeadKey, Value: backup.Value, Revision: store.Revision{Number: 1000}}
 	_, err := r.Accept(ctx, third)
 	var bad *policy.RejectedError
 	if !errors.As(err, &bad) {
--- a/seed/seed.go
+++ b/seed/seed.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"sycamorespread.dev/store"
 )
 
 const (
@@ -66,9 +68,9 @@
 	// ListSeeds lists the seeds of other daemons. A stale list may be seconds old and is cheaper for
 	// the platform.
 	ListSeeds func(ctx context.Context, stale bool) ([]netip.AddrPort, error)
-	// RenewSeed renews the lease of the own seed, or writes the seed under a new lease if lease is 0
-	// or has expired. It returns the lease.
-	RenewSeed func(ctx context.Context, lease uint64) (uint64, error)
+	// RenewSeed renews the lease of the own seed, or writes the seed under a new lease if there is none
+	// or it has expired. It returns the lease.
+	RenewSeed func(ctx context.Context, lease store.Lease) (store.Lease, error)
 	// Join exchanges member entries with the daemons at addrs and reports whether any responded.
 	Join func(ctx context.Context, addrs []netip.AddrPort) bool
 	// OnReady is called, possibly repeatedly, when the daemon may accept work.
@@ -159,11 +161,11 @@
 	if !f.noSeeds.Load() && !f.Sleep(ctx, rankDelay) {
 		return nil
 	}
-	var lease uint64
+	var lease store.Lease
 	for delay := time.Duration(0); f.Sleep(ctx, delay); {
 		delay = renewInterval
 		if f.ZoneRank() >= f.SeedsPerZone || f.Leaving() {
-			lease = 0
+			lease = store.Lease{}
 			continue
 		}
 		next, err := f.Config.RenewSeed(ctx, lease)
@@ -171,7 +173,7 @@
 			f.Log.WithField("err", err).Warn("renewing the own seed failed")
 			delay = renewRetryDelay
 		}
-		if lease == 0 && next != 0 && f.noSeeds.Swap(false) {
+		if lease.ID == 0 && next.ID != 0 && f.noSeeds.Swap(false) {
 			f.joinOtherSeeds(ctx)
 		}
 		lease = next
--- a/seed/seed_test.go
+++ b/seed/seed_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/seed"
+	"sycamorespread.dev/store"
 )
 
 const (
@@ -158,19 +159,19 @@
 	return list, nil
 }
 
-func (d *daemon) renew(_ context.Context, lease uint64) (uint64, error) {
-	if lease != 0 {
+func (d *daemon) renew(_ context.Context, lease store.Lease) (store.Lease, error) {
+	if lease.ID != 0 {
 		return lease, d.sim.call(&d.sim.tenthCost)
 	}
 	for range writeCalls {
 		if err := d.sim.call(&d.sim.fullCost); err != nil {
-			return 0, err
+			return store.Lease{}, err
 		}
 	}
 	d.sim.mu.Lock()
 	defer d.sim.mu.Unlock()
 	d.sim.seeds[d.addr] = true
-	return 1, nil
+	return store.Lease{ID: 1}, nil
 }
 
 func (d *daemon) join(_ context.Context, addrs []netip.AddrPort) bool {
--- a/store/store.go
+++ b/store/store.go
@@ -8,7 +8,7 @@
 //
 //	c := store.New(transport, store.RateLimits{Reads: 100, Writes: 20})
 //	item, err := c.Get(ctx, "policy/head")
-//	put, err := c.Put(ctx, "policy/head", value, item.Revision, 0)
+//	put, err := c.Put(ctx, "policy/head", value, item.Revision, store.Lease{})
 //	if !put.Swapped {
 //		// put.Item is the current item of the key
 //	}
@@ -66,11 +66,11 @@
 // CompactedError reports that the store no longer has the changes that a watch
 // asked for.
 type CompactedError struct {
-	After uint64
+	After Revision
 }
 
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("changes after revision %d are compacted", e.After)
+	return fmt.Sprintf("changes after revision %d are compacted", e.After.Number)
 }
 
 // RateLimits are the maximum calls per second of one client.
@@ -85,6 +85,12 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
+	// OnRestored is called when the responses show that the store was restored from a copy, with the
+	// eras before and after. It may be nil, and is set before the first call.
+	OnRestored func(from, to uint64)
+
+	// nextEra is the number after the latest known era, 0 if none is known.
+	nextEra                atomic.Uint64
 	transport              Transport
 	readLimit, writeLimit  *rate.Limiter
 	reads, writes, watches atomic.Int64
@@ -104,6 +110,28 @@
 	return Counts{Reads: c.reads.Load(), Writes: c.writes.Load(), Watches: c.watches.Load()}
 }
 
+// Era returns the latest era that a response had, 0 if there was none.
+func (c *Client) Era() uint64 {
+	return max(c.nextEra.Load(), 1) - 1
+}
+
+// observe records the era of a response.
+func (c *Client) observe(era uint64) {
+	for {
+		next := c.nextEra.Load()
+		if era < next {
+			return
+		}
+		if !c.nextEra.CompareAndSwap(next, era+1) {
+			continue
+		}
+		if next > 0 && c.OnRestored != nil {
+			c.OnRestored(next-1, era)
+		}
+		return
+	}
+}
+
 // read makes one read call, subject to the read rate and the call timeout.
 func read[T any](ctx context.Context, c *Client, op, key string, call func(context.Context) (T, error)) (T, error) {
 	var zero T
@@ -139,13 +167,21 @@
 
 // Get reads a key. The item has revision 0 if the key does not exist.
 func (c *Client) Get(ctx context.Context, key string) (Item, error) {
-	return read(ctx, c, "get", key, func(ctx context.Context) (Item, error) { return c.transport.Get(ctx, key) })
+	item, err := read(ctx, c, "get", key, func(ctx context.Context) (Item, error) { return c.transport.Get(ctx, key) })
+	if err == nil {
+		c.observe(item.Revision.Era)
+	}
+	return item, err
 }
 
-// Put writes a key if its revision is baseRevision.
-func (c *Client) Put(ctx context.Context, key string, value []byte, baseRevision, lease uint64) (WriteResult, error) {
-	change := ConditionalWrite{Key: key, Value: value, BaseRevision: baseRevision, Lease: lease}
-	return write(ctx, c, "put", key, func(ctx context.Context) (WriteResult, error) { return c.transport.Write(ctx, change) })
+// Put writes a key if its revision is base.
+func (c *Client) Put(ctx context.Context, key string, value []byte, base Revision, lease Lease) (WriteResult, error) {
+	change := ConditionalWrite{Key: key, Value: value, BaseRevision: base, Lease: lease}
+	result, err := write(ctx, c, "put", key, func(ctx context.Context) (WriteResult, error) { return c.transport.Write(ctx, change) })
+	if err == nil {
+		c.observe(result.Item.Revision.Era)
+	}
+	return result, err
 }
 
 // List reads all keys with a prefix, page by page; the pages don't form a
@@ -161,6 +197,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.observe(page.Revision.Era)
 		list = append(list, page.Items...)
 		if !page.HasMore || len(page.Items) == 0 {
 			return list, nil
@@ -205,11 +242,11 @@
 			return err
 		}
 		w.OnItem(item, current)
-		complete, err := c.watchFrom(ctx, w, max(item.Revision, item.StoreRevision), current)
+		complete, err := c.watchFrom(ctx, w, latest(item.Revision, item.StoreRevision), current)
 		if complete || err != nil {
 			return err
 		}
-		if item.StoreRevision == 0 {
+		if item.StoreRevision.Number == 0 {
 			// The changes after the item's revision may be compacted, so the next watch may fail too.
 			sleep(ctx, scale(w.Interval(), minWaitRatio))
 		}
@@ -218,7 +255,7 @@
 
 // watchFrom observes changes after a revision. The last item was the newest one at
 // the time current. watchFrom returns false if it may have missed changes.
-func (c *Client) watchFrom(ctx context.Context, w Watcher, after uint64, current time.Time) (complete bool, err error) {
+func (c *Client) watchFrom(ctx context.Context, w Watcher, after Revision, current time.Time) (complete bool, err error) {
 	for ctx.Err() == nil && w.Keep() {
 		start := w.Now()
 		interval := w.Interval()
@@ -233,7 +270,7 @@
 		}
 		current = start
 		if !w.report(events, start) {
-			if next > after {
+			if next.Number > after.Number {
 				// The change is of another key, or the watch has skipped it.
 				return false, nil
 			}
@@ -243,11 +280,19 @@
 			}
 			w.OnUnchanged(current)
 		}
-		after = max(after, next)
+		after = latest(after, next)
 	}
 	return true, ctx.Err()
 }
 
+// latest returns the revision with the higher number.
+func latest(a, b Revision) Revision {
+	if a.Number > b.Number {
+		return a
+	}
+	return b
+}
+
 func scale(d time.Duration, ratio float64) time.Duration {
 	return time.Duration(ratio * float64(d))
 }
@@ -276,27 +321,37 @@
 }
 
 // watchOnce makes one watch call.
-func (c *Client) watchOnce(ctx context.Context, key string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+func (c *Client) watchOnce(ctx context.Context, key string, after Revision, wait time.Duration) ([]Event, Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGracePeriod)
 	defer cancel()
 	if err := c.readLimit.Wait(ctx); err != nil {
-		return nil, 0, &UnavailableError{Op: "watch", Key: key, Err: err}
+		return nil, Revision{}, &UnavailableError{Op: "watch", Key: key, Err: err}
 	}
 	c.watches.Add(1)
 	events, next, err := c.transport.Watch(ctx, key, after, wait)
 	if err != nil {
-		return nil, 0, &UnavailableError{Op: "watch", Key: key, Err: err}
+		return nil, Revision{}, &UnavailableError{Op: "watch", Key: key, Err: err}
 	}
+	c.observe(next.Era)
 	return events, next, nil
 }
 
-// Grant creates a lease that expires after ttl unless it is renewed, and returns
-// its ID.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
-	return write(ctx, c, "grant", "", func(ctx context.Context) (uint64, error) { return c.transport.Grant(ctx, ttl) })
+// Grant creates a lease that expires after ttl unless it is renewed.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	lease, err := write(ctx, c, "grant", "", func(ctx context.Context) (Lease, error) { return c.transport.Grant(ctx, ttl) })
+	if err == nil {
+		c.observe(lease.Era)
+	}
+	return lease, err
 }
 
 // Renew extends a lease and reports whether it had not expired yet.
-func (c *Client) Renew(ctx context.Context, lease uint64) (bool, error) {
-	return read(ctx, c, "renew", "", func(ctx context.Context) (bool, error) { return c.transport.Renew(ctx, lease) })
+func (c *Client) Renew(ctx context.Context, lease Lease) (bool, error) {
+	return read(ctx, c, "renew", "", func(ctx context.Context) (bool, error) {
+		alive, era, err := c.transport.Renew(ctx, lease.ID)
+		if err == nil {
+			c.observe(era)
+		}
+		return alive, err
+	})
 }
--- a/store/watch_test.go
+++ b/store/watch_test.go
@@ -8,13 +8,18 @@
 	"sycamorespread.dev/store"
 )
 
+// at returns a revision of a store that was never restored.
+func at(number uint64) store.Revision {
+	return store.Revision{Number: number}
+}
+
 // watched runs a Watcher on a transport until OnItem or OnUnchanged was called
 // calls times, and returns the revisions of the items.
-func watched(t *testing.T, tr store.Transport, calls int) []uint64 {
+func watched(t *testing.T, tr store.Transport, calls int) []store.Revision {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	var seen []uint64
+	var seen []store.Revision
 	done := func() {
 		if calls--; calls == 0 {
 			cancel()
@@ -37,16 +42,16 @@
 }
 
 func TestChangeIsMissedIfWatchSkipsIt(t *testing.T) {
-	item := store.Item{Key: "k", Revision: 5, StoreRevision: 5}
+	item := store.Item{Key: "k", Revision: at(5), StoreRevision: at(5)}
 	tr := store.Transport{
 		Get: func(context.Context, string) (store.Item, error) { return item, nil },
-		Watch: func(_ context.Context, _ string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+		Watch: func(_ context.Context, _ string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 			time.Sleep(wait)
-			item.Revision, item.StoreRevision = 8, 9
-			return nil, max(9, after), nil
+			item.Revision, item.StoreRevision = at(8), at(9)
+			return nil, at(max(9, after.Number)), nil
 		},
 	}
-	if seen := watched(t, tr, 4); len(seen) < 2 || seen[1] != 8 {
+	if seen := watched(t, tr, 4); len(seen) < 2 || seen[1] != at(8) {
 		t.Errorf("revisions %v", seen)
 	}
 }
@@ -57,14 +62,14 @@
 	tr := store.Transport{
 		Get: func(context.Context, string) (store.Item, error) {
 			reads++
-			return store.Item{Key: "k", Revision: 5, StoreRevision: 60}, nil
+			return store.Item{Key: "k", Revision: at(5), StoreRevision: at(60)}, nil
 		},
-		Watch: func(_ context.Context, _ string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
-			if after < compacted {
-				return nil, 0, &store.CompactedError{After: after}
+		Watch: func(_ context.Context, _ string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+			if after.Number < compacted {
+				return nil, store.Revision{}, &store.CompactedError{After: after}
 			}
 			time.Sleep(wait)
-			return nil, 60, nil
+			return nil, at(60), nil
 		},
 	}
 	watched(t, tr, 10)
@@ -79,9 +84,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	tr := store.Transport{
 		Get: func(context.Context, string) (store.Item, error) {
-			return store.Item{Key: "k", Revision: 5, StoreRevision: 5}, nil
+			return store.Item{Key: "k", Revision: at(5), StoreRevision: at(5)}, nil
 		},
-		Watch: func(_ context.Context, _ string, after uint64, _ time.Duration) ([]store.Event, uint64, error) {
+		Watch: func(_ context.Context, _ string, after store.Revision, _ time.Duration) ([]store.Event, store.Revision, error) {
 			// The response arrives, and is read after the machine was suspended.
 			now = now.Add(4 * time.Second)
 			return nil, after, nil
