store: a watch across a restore of the store reads the key again

After a restore, an old version could be confirmed as the newest, and that confirmation reaches other daemons, which then do not read the store themselves.

Cause: a watch continues from a number. If the restored store has reached that number again, a response without events says nothing about the changes on the way there, but it counted as 'no change'.

The eras of the response and of the revision tell whether they belong to one history.

--- a/store/store.go
+++ b/store/store.go
@@ -268,6 +268,10 @@
 		if err != nil {
 			return false, err
 		}
+		if next.Era != after.Era {
+			// The numbers of after and next are of two histories.
+			return false, nil
+		}
 		current = start
 		if !w.report(events, start) {
 			if next.Number > after.Number {
