store: a lease of an earlier era does not exist any more

After a restore of the store the records by which starting daemons find the others could be missing for good.

Cause: a daemon took the renewal of its lease as proof that its record stands. After a restore the ID may belong to another client: the renewal succeeds, keeps the stranger's lease alive, and the record is never written again.

The era is part of a lease. A renewal that is answered in another era reports that the lease is gone, so that the caller takes a new one and writes the record again.

The fake store of the daemon's tests is now fakekv behind the HTTP handler.

--- a/daemon/config_test.go
+++ b/daemon/config_test.go
@@ -125,10 +125,10 @@
 	s.add("two")
 	s.awaitServed(5*time.Second, one, "two")
 	time.Sleep(watchEnd)
-	s.store.setDeaf(true)
+	s.store.deaf.Store(true)
 	s.configure(9, "one")
 	time.Sleep(500 * time.Millisecond)
-	s.store.setDeaf(false)
+	s.store.deaf.Store(false)
 	s.awaitServed(applyTimeout, one, "one")
 }
 
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -35,10 +35,8 @@
 	s.add("one")
 	s.add("two")
 	time.Sleep(duration)
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	if limit := daemons * int(duration.Seconds()+1) * perSecond; s.store.rejected > limit {
-		t.Errorf("%d calls in %s, want at most %d", s.store.rejected, duration, limit)
+	if limit := int64(daemons * int(duration.Seconds()+1) * perSecond); s.store.rejected.Load() > limit {
+		t.Errorf("%d calls in %s, want at most %d", s.store.rejected.Load(), duration, limit)
 	}
 }
 
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -22,124 +22,48 @@
 
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/daemon"
+	"sycamorespread.dev/fakekv"
 	"sycamorespread.dev/life"
 	"sycamorespread.dev/platform"
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/store"
 )
 
-// fakeStore is a key-value store in memory that can be made unavailable.
+// fakeStore is a simulated store that can be made unavailable.
 type fakeStore struct {
-	mu          sync.Mutex
-	unavailable bool
-	items       map[string]store.Item
-	revision    uint64
+	kv *fakekv.Store
 	// rejected counts the calls that arrived while the store was unavailable.
-	rejected int
+	rejected atomic.Int64
 	// deaf is true while watches omit changes.
-	deaf bool
-}
-
-func (s *fakeStore) lockAvailable() error {
-	s.mu.Lock()
-	if s.unavailable {
-		s.rejected++
-		s.mu.Unlock()
-		return &store.RejectedError{Status: http.StatusServiceUnavailable}
-	}
-	return nil
+	deaf atomic.Bool
 }
 
 func (s *fakeStore) setUnavailable(away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unavailable = away
-}
-
-func (s *fakeStore) setDeaf(deaf bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deaf = deaf
-}
-
-func (s *fakeStore) put(key, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.items[key] = store.Item{Key: key, Value: []byte(value), Revision: store.Revision{Number: s.revision}}
+	s.kv.SetFaults(fakekv.Faults{Down: away})
 }
 
-func (s *fakeStore) transport() store.Transport {
-	return store.Transport{
-		Get: func(_ context.Context, key string) (store.Item, error) {
-			if err := s.lockAvailable(); err != nil {
-				return store.Item{}, err
-			}
-			defer s.mu.Unlock()
-			it := s.items[key]
-			it.StoreRevision = store.Revision{Number: s.revision}
-			return it, nil
-		},
-		Range: func(_ context.Context, prefix, _ string, _ bool) (store.Page, error) {
-			if err := s.lockAvailable(); err != nil {
-				return store.Page{}, err
-			}
-			defer s.mu.Unlock()
-			p := store.Page{}
-			for key, it := range s.items {
-				if strings.HasPrefix(key, prefix) {
-					p.Items = append(p.Items, it)
-				}
-			}
-			return p, nil
-		},
-		Watch: func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
-			for start := time.Now(); ; {
-				if err := s.lockAvailable(); err != nil {
-					return nil, store.Revision{}, err
-				}
-				it, now, deaf := s.items[prefix], store.Revision{Number: s.revision}, s.deaf
-				s.mu.Unlock()
-				switch {
-				case deaf && now.Number > after.Number:
-					return nil, now, nil
-				case it.Revision.Number > after.Number:
-					return []store.Event{{Item: it}}, now, nil
-				case time.Since(start) > wait:
-					return nil, now, nil
-				}
-				select {
-				case <-ctx.Done():
-					return nil, store.Revision{}, ctx.Err()
-				case <-time.After(10 * time.Millisecond):
-				}
-			}
-		},
-		Write: func(_ context.Context, c store.ConditionalWrite) (store.WriteResult, error) {
-			if err := s.lockAvailable(); err != nil {
-				return store.WriteResult{}, err
-			}
-			defer s.mu.Unlock()
-			if s.items[c.Key].Revision != c.BaseRevision {
-				return store.WriteResult{Item: s.items[c.Key]}, nil
-			}
-			s.revision++
-			s.items[c.Key] = store.Item{Key: c.Key, Value: c.Value, Revision: store.Revision{Number: s.revision}}
-			return store.WriteResult{Swapped: true, Item: s.items[c.Key]}, nil
-		},
-		Grant: func(context.Context, time.Duration) (store.Lease, error) {
-			return store.Lease{ID: 1}, s.checkAvailable()
-		},
-		Renew: func(context.Context, uint64) (bool, uint64, error) { return true, 0, s.checkAvailable() },
-	}
-}
-
-func (s *fakeStore) checkAvailable() error {
-	if err := s.lockAvailable(); err != nil {
-		return err
+// handler serves the store over HTTP.
+func (s *fakeStore) handler() http.Handler {
+	t := s.kv.Transport()
+	watch := t.Watch
+	t.Watch = func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+		events, next, err := watch(ctx, prefix, after, wait)
+		if s.deaf.Load() {
+			events = nil
+		}
+		return events, next, err
 	}
-	s.mu.Unlock()
-	return nil
+	h := platform.StoreHandler(t)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response := httptest.NewRecorder()
+		h.ServeHTTP(response, r)
+		if response.Code == http.StatusServiceUnavailable {
+			s.rejected.Add(1)
+		}
+		maps.Copy(w.Header(), response.Header())
+		w.WriteHeader(response.Code)
+		_, _ = w.Write(response.Body.Bytes())
+	})
 }
 
 // httpCluster is a set of instances with the HTTP interface and a fake store, in
@@ -184,7 +108,7 @@
 }
 
 func newHTTPCluster(t *testing.T) *httpCluster {
-	s := &httpCluster{t: t, stopDelay: 300 * time.Millisecond, store: &fakeStore{items: map[string]store.Item{}}}
+	s := &httpCluster{t: t, stopDelay: 300 * time.Millisecond, store: &fakeStore{kv: fakekv.New(time.Now)}}
 	s.base = netip.AddrFrom4([4]byte{127, byte(10 + clusters.Add(1)%200), 77, 0})
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
@@ -248,7 +172,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.store.put(platform.PolicyKey, text)
+	s.store.kv.Put(platform.PolicyKey, []byte(text))
 }
 
 func (s *httpCluster) add(service string) *httpNode {
@@ -257,7 +181,7 @@
 	n.host = netip.AddrFrom4([4]byte{127, s.base.As4()[1], 77, byte(10 + len(s.nodes))})
 	n.serverAddr = s.serve(netip.AddrPortFrom(n.host, 0), http.HandlerFunc(n.handle)).String()
 	n.outboundAddr, n.readyAddr, n.controlAddr = n.addr(17404), n.addr(17402), n.addr(17406)
-	storeHandler := platform.StoreHandler(s.store.transport())
+	storeHandler := s.store.handler()
 	n.storeAddr = s.serve(netip.AddrPortFrom(n.host, 0), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.partitioned.Load() {
 			panic(http.ErrAbortHandler)
--- /dev/null
+++ b/daemon/restore_test.go
@@ -0,0 +1,52 @@
+package daemon_test
+
+import (
+	"testing"
+	"time"
+
+	"sycamorespread.dev/fakekv"
+)
+
+// entryTimeout is the time after the return of the store within which the users require lost entries
+// to be back.
+const entryTimeout = 2 * time.Second
+
+// seeds returns the number of seed records in the store.
+func (s *httpCluster) seeds() int {
+	s.t.Helper()
+	page, err := s.store.kv.Transport().Range(s.t.Context(), "seed/", "", false)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return len(page.Items)
+}
+
+// newSeeded returns a cluster of two daemons, each of which has a seed record.
+func newSeeded(t *testing.T) *httpCluster {
+	t.Helper()
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one := s.add("one")
+	s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	s.eventually(5*time.Second, "seed records", func() bool { return s.seeds() == 2 })
+	return s
+}
+
+// restoreEmpty restores the store from an empty copy, and grants its lease IDs to others.
+func (s *httpCluster) restoreEmpty(cut bool) {
+	s.t.Helper()
+	s.store.kv.Restore(fakekv.New(time.Now).Copy(), cut)
+	for range 30 {
+		if _, err := s.store.kv.Transport().Grant(s.t.Context(), time.Hour); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	s.configure(7, "two")
+}
+
+func TestSeedIsMissingForGoodAfterARestore(t *testing.T) {
+	s := newSeeded(t)
+	s.restoreEmpty(true)
+	s.eventually(15*time.Second, "seed records", func() bool { return s.seeds() == 2 })
+}
--- a/store/restore_test.go
+++ b/store/restore_test.go
@@ -144,3 +144,27 @@
 		})
 	}
 }
+
+func TestRenewalKeepsTheLeaseOfAnotherAfterARestore(t *testing.T) {
+	ctx := context.Background()
+	kv := fakekv.New(time.Now)
+	c, other := store.New(kv.Transport(), limits), store.New(kv.Transport(), limits)
+	backup := kv.Copy()
+	lease, err := c.Grant(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kv.Restore(backup, true)
+	theirs, err := other.Grant(ctx, time.Minute)
+	if err != nil || theirs.ID != lease.ID {
+		t.Fatalf("lease %v, want the ID of %v; %v", theirs, lease, err)
+	}
+	for range 2 {
+		if alive, err := c.Renew(ctx, lease); alive || err != nil {
+			t.Errorf("renewal of a lease of the lost history: %t, %v", alive, err)
+		}
+	}
+	if alive, err := other.Renew(ctx, theirs); !alive || err != nil {
+		t.Errorf("renewal: %t, %v", alive, err)
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -349,13 +349,22 @@
 	return lease, err
 }
 
-// Renew extends a lease and reports whether it had not expired yet.
+// Renew extends a lease and reports whether it still exists. A lease of an earlier
+// era does not, even if another client has one with its ID.
 func (c *Client) Renew(ctx context.Context, lease Lease) (bool, error) {
+	if c.isLost(lease.Era) {
+		return false, nil
+	}
 	return read(ctx, c, "renew", "", func(ctx context.Context) (bool, error) {
 		alive, era, err := c.transport.Renew(ctx, lease.ID)
 		if err == nil {
 			c.observe(era)
 		}
-		return alive, err
+		return alive && era == lease.Era, err
 	})
 }
+
+// isLost reports whether the store was restored since an era.
+func (c *Client) isLost(era uint64) bool {
+	return era+1 < c.nextEra.Load()
+}
