seed, daemon: a seed record is written again as soon as a restore is known

Daemons that start after a short restore of the store could find no other daemon in it for up to 10 s.

Cause: the record was only looked after at the next renewal of its lease, 10 s apart. An outage that lasts longer than a renewal takes hides it, since failed renewals are repeated after a second.

Evidence: TestSeedIsMissingForLongAfterARestore, with waiting watches cut and not cut, failed ('not within 2s') and passes. The watchers of a zone learn of a restore from their watches; the record of a daemon that is no watcher still waits.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 	"sycamorespread.dev/poison"
 	"sycamorespread.dev/policy"
 	"sycamorespread.dev/route"
+	"sycamorespread.dev/seed"
 	"sycamorespread.dev/server"
 	"sycamorespread.dev/stats"
 	"sycamorespread.dev/store"
@@ -92,6 +93,7 @@
 	clock        func() time.Time
 	registry     *policy.Registry
 	node         *member.Node
+	finder       *seed.Finder
 	peers        *peer.Client
 	backend      *server.Client
 	platform     *store.Client
@@ -192,15 +194,17 @@
 		return
 	}
 	d.platform = store.New(d.adapter.StoreTransport(d.cfg.PlatformAddr), store.RateLimits{Reads: d.cfg.ReadRate, Writes: d.cfg.WriteRate})
-	d.platform.OnRestored = d.logRestore
+	d.platform.OnRestored = d.storeRestored
 	d.registry = &policy.Registry{Get: d.platform.Get, Put: d.platform.Put, Now: time.Now, Sleep: sleep}
 }
 
-// logRestore logs that the store was restored from a copy.
-func (d *Daemon) logRestore(from, to uint64) {
+// storeRestored logs that the store was restored from a copy, and writes the seed
+// record again, which the copy may not have.
+func (d *Daemon) storeRestored(from, to uint64) {
 	revision := d.policyHolder.Revision()
 	age, known := d.confirmed.Age(revision)
 	d.log.WithFields(logrus.Fields{"era": to, "before": from, "revision": revision, "known": known, "age_ms": age.Milliseconds()}).Warn("platform store was restored from a copy")
+	d.finder.ReportLost()
 }
 
 func (d *Daemon) listen() error {
@@ -216,6 +220,7 @@
 		return errors.Wrapf(err, "listen on tcp %s", d.cfg.HTTPAddr)
 	}
 	d.node = member.New(d.memberConfig(), udpConn(udp))
+	d.finder = d.newFinder()
 	if d.cfg.Front.Enabled() {
 		return d.openFront()
 	}
@@ -240,10 +245,9 @@
 	} else {
 		g.Go(func() error { return d.guard.Loop(inner, "health", d.healthLoop) })
 	}
-	finder := d.newFinder()
-	g.Go(func() error { return d.guard.Loop(inner, "join", finder.Join) })
+	g.Go(func() error { return d.guard.Loop(inner, "join", d.finder.Join) })
 	if d.platform != nil {
-		g.Go(func() error { return d.guard.Loop(inner, "seed", finder.MaintainSeed) })
+		g.Go(func() error { return d.guard.Loop(inner, "seed", d.finder.MaintainSeed) })
 		g.Go(func() error { return d.guard.Loop(inner, "confirm", d.confirmLoop) })
 	}
 	g.Go(func() error { return d.guard.Loop(inner, "watch", d.watchLoop) })
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -50,3 +50,13 @@
 	s.restoreEmpty(true)
 	s.eventually(15*time.Second, "seed records", func() bool { return s.seeds() == 2 })
 }
+
+func TestSeedIsMissingForLongAfterARestore(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		s := newSeeded(t)
+		// The first renewal of the leases is due in 10 s.
+		time.Sleep(time.Second)
+		s.restoreEmpty(cut)
+		s.eventually(entryTimeout, "seed records", func() bool { return s.seeds() == 2 })
+	}
+}
--- a/seed/seed.go
+++ b/seed/seed.go
@@ -91,11 +91,13 @@
 	joined atomic.Bool
 	// noSeeds reports that the platform listed no seed of another daemon.
 	noSeeds atomic.Bool
+	// lost is signalled when the own seed may be lost.
+	lost chan struct{}
 }
 
 // New returns a Finder.
 func New(cfg Config) *Finder {
-	return &Finder{Config: cfg}
+	return &Finder{Config: cfg, lost: make(chan struct{}, 1)}
 }
 
 // Join exchanges member entries with a first daemon, and again whenever no other
@@ -162,7 +164,7 @@
 		return nil
 	}
 	var lease store.Lease
-	for delay := time.Duration(0); f.Sleep(ctx, delay); {
+	for delay := time.Duration(0); f.awaitRenewal(ctx, delay); {
 		delay = renewInterval
 		if f.ZoneRank() >= f.SeedsPerZone || f.Leaving() {
 			lease = store.Lease{}
@@ -181,6 +183,28 @@
 	return nil
 }
 
+// awaitRenewal waits for delay, or until the own seed may be lost, and reports
+// whether ctx is not done.
+func (f *Finder) awaitRenewal(ctx context.Context, delay time.Duration) bool {
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.lost:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// ReportLost makes MaintainSeed renew the own seed at once, since the platform may
+// have lost it.
+func (f *Finder) ReportLost() {
+	select {
+	case f.lost <- struct{}{}:
+	default:
+	}
+}
+
 // joinOtherSeeds joins other daemons that wrote a first seed at the same time.
 // None of them knew the others, and daemons that joined through one of them may
 // not know the others either.
