member, daemon: acks state the era of the store

After a short restore of the store the seed record of a daemon that does not watch the store was back only with the next renewal of its lease, up to 10 s later.

Cause: only watchers look at the store all the time. Three daemons of a zone have a seed record, two of them watch.

Evidence: TestSeedOfADaemonThatDoesNotWatchIsMissingForLong, nine daemons in three zones, failed ('not within 2s') and passes.

Members ask a watcher whether their policy is the newest anyway; its ack now states the latest era it knows. A later era than the own one makes the daemon renew its lease, once for each era, so that a wrong statement costs one call. What counts is the response of the store.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -120,6 +120,8 @@
 	leavingSince atomic.Int64
 	serverDown   atomic.Bool
 	joined       atomic.Bool
+	// statedEra is the latest era of the store that a member stated.
+	statedEra    atomic.Uint64
 	inflight     atomic.Int64
 	acceptLog    rate.Sometimes
 	routesStale  chan struct{}
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -73,9 +73,11 @@
 	store *fakeStore
 	// stopDelay is the minimum time for which a stopping daemon accepts requests.
 	stopDelay time.Duration
-	g         errgroup.Group
-	nodes     []*httpNode
-	base      netip.Addr
+	// zones is the number of availability zones, to which instances are added in turn.
+	zones int
+	g     errgroup.Group
+	nodes []*httpNode
+	base  netip.Addr
 	// silence is raised to make the connections of all open calls to the store silent.
 	silence atomic.Int64
 }
@@ -83,7 +85,7 @@
 // httpNode is one instance: a daemon and its backend server.
 type httpNode struct {
 	*httpCluster
-	id, service                          string
+	id, service, zone                    string
 	host                                 netip.Addr
 	serverAddr                           string
 	runs                                 atomic.Int64
@@ -108,7 +110,7 @@
 }
 
 func newHTTPCluster(t *testing.T) *httpCluster {
-	s := &httpCluster{t: t, stopDelay: 300 * time.Millisecond, store: &fakeStore{kv: fakekv.New(time.Now)}}
+	s := &httpCluster{t: t, zones: 1, stopDelay: 300 * time.Millisecond, store: &fakeStore{kv: fakekv.New(time.Now)}}
 	s.base = netip.AddrFrom4([4]byte{127, byte(10 + clusters.Add(1)%200), 77, 0})
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
@@ -177,7 +179,7 @@
 
 func (s *httpCluster) add(service string) *httpNode {
 	s.t.Helper()
-	n := &httpNode{httpCluster: s, service: service, id: fmt.Sprintf("%s-%d", service, len(s.nodes))}
+	n := &httpNode{httpCluster: s, service: service, id: fmt.Sprintf("%s-%d", service, len(s.nodes)), zone: fmt.Sprintf("z%d", len(s.nodes)%s.zones)}
 	n.host = netip.AddrFrom4([4]byte{127, s.base.As4()[1], 77, byte(10 + len(s.nodes))})
 	n.serverAddr = s.serve(netip.AddrPortFrom(n.host, 0), http.HandlerFunc(n.handle)).String()
 	n.outboundAddr, n.readyAddr, n.controlAddr = n.addr(17404), n.addr(17402), n.addr(17406)
@@ -233,9 +235,9 @@
 
 func (n *httpNode) run() {
 	n.t.Helper()
-	text := fmt.Sprintf("[daemon]\nid = %s\nregion = r\nzone = z\naddr = %s\nhttp = %s\nprobe = 200ms\n[front]\noutbound = %s\ninbound = %s\nready = %s\ncontrol = %s\n"+
+	text := fmt.Sprintf("[daemon]\nid = %s\nregion = r\nzone = %s\naddr = %s\nhttp = %s\nprobe = 200ms\n[front]\noutbound = %s\ninbound = %s\nready = %s\ncontrol = %s\n"+
 		"stop_wait = %s\nstop_most = 3s\n[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n[server]\nservice = %s\naddr = %s\n",
-		n.id, n.addr(17400), n.addr(17401), n.outboundAddr, n.addr(17403), n.readyAddr, n.controlAddr, n.stopDelay, n.storeAddr, n.service, n.serverAddr)
+		n.id, n.zone, n.addr(17400), n.addr(17401), n.outboundAddr, n.addr(17403), n.readyAddr, n.controlAddr, n.stopDelay, n.storeAddr, n.service, n.serverAddr)
 	cfg, err := config.Parse("test", []byte(text))
 	if err != nil {
 		n.t.Fatal(err)
@@ -275,7 +277,7 @@
 func (n *httpNode) heartbeatOf(startedAt time.Time, sequence int64, slots int, draining bool) int {
 	status, err := platform.SendHeartbeat(context.Background(), http.DefaultClient, netip.MustParseAddrPort(n.controlAddr), life.Report{
 		Instance: "i-" + n.id, StartedAt: startedAt, Sequence: sequence, Addr: netip.MustParseAddrPort(n.serverAddr),
-		Service: n.service, Zone: "z", Slots: slots, Draining: draining,
+		Service: n.service, Zone: n.zone, Slots: slots, Draining: draining,
 	})
 	if err != nil {
 		return 0
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -58,6 +58,8 @@
 		Revision:        d.policyHolder.Revision,
 		PolicyAge:       d.confirmed.Age,
 		OnConfirmed:     d.policyConfirmed,
+		StoreEra:        d.storeEra,
+		OnStoreEra:      d.memberEra,
 		OnNewerRevision: d.requestPull,
 		OnPoison:        d.quarantine.Merge,
 		OnChange:        d.routesChanged,
@@ -66,6 +68,22 @@
 	}
 }
 
+// storeEra returns the latest era in a response of the store.
+func (d *Daemon) storeEra() uint64 {
+	if d.platform == nil {
+		return 0
+	}
+	return d.platform.Era()
+}
+
+// memberEra handles the era of the store that a member stated. A later one is a
+// reason to ask the store, once for each era; only a response of the store is proof.
+func (d *Daemon) memberEra(era uint64) {
+	if known := d.statedEra.Load(); era > max(known, d.storeEra()) && d.statedEra.CompareAndSwap(known, era) {
+		d.finder.ReportLost()
+	}
+}
+
 // frontAddr returns the address to which other daemons send HTTP requests, or
 // an empty string if the HTTP interface is off.
 func (d *Daemon) frontAddr() string {
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -21,15 +21,18 @@
 	return len(page.Items)
 }
 
-// newSeeded returns a cluster of two daemons, each of which has a seed record.
-func newSeeded(t *testing.T) *httpCluster {
+// newSeeded returns a cluster of daemons, each of which has a seed record.
+func newSeeded(t *testing.T, zones, perZone int) *httpCluster {
 	t.Helper()
 	s := newHTTPCluster(t)
+	s.zones = zones
 	s.configure(7, "two")
 	one := s.add("one")
-	s.add("two")
+	for len(s.nodes) < zones*perZone {
+		s.add("two")
+	}
 	s.awaitServed(5*time.Second, one, "two")
-	s.eventually(5*time.Second, "seed records", func() bool { return s.seeds() == 2 })
+	s.eventually(5*time.Second, "seed records", func() bool { return s.seeds() == len(s.nodes) })
 	return s
 }
 
@@ -46,17 +49,24 @@
 }
 
 func TestSeedIsMissingForGoodAfterARestore(t *testing.T) {
-	s := newSeeded(t)
+	s := newSeeded(t, 1, 2)
 	s.restoreEmpty(true)
 	s.eventually(15*time.Second, "seed records", func() bool { return s.seeds() == 2 })
 }
 
 func TestSeedIsMissingForLongAfterARestore(t *testing.T) {
 	for _, cut := range []bool{true, false} {
-		s := newSeeded(t)
+		s := newSeeded(t, 1, 2)
 		// The first renewal of the leases is due in 10 s.
 		time.Sleep(time.Second)
 		s.restoreEmpty(cut)
 		s.eventually(entryTimeout, "seed records", func() bool { return s.seeds() == 2 })
 	}
 }
+
+func TestSeedOfADaemonThatDoesNotWatchIsMissingForLong(t *testing.T) {
+	s := newSeeded(t, 3, 3)
+	time.Sleep(time.Second)
+	s.restoreEmpty(true)
+	s.eventually(entryTimeout, "seed records", func() bool { return s.seeds() == len(s.nodes) })
+}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -209,6 +209,9 @@
 			p.PolicyAgeMs = proto.Uint32(uint32(min(math.MaxUint32, age/time.Millisecond+1)))
 		}
 	}
+	if p.Kind == sycapb.Packet_KIND_ACK && n.cfg.StoreEra != nil {
+		p.StoreEra = n.cfg.StoreEra()
+	}
 	if n.revisionSends > 0 {
 		n.revisionSends--
 	}
--- a/member/probe.go
+++ b/member/probe.go
@@ -178,6 +178,9 @@
 		age := time.Duration(*p.PolicyAgeMs) * time.Millisecond
 		n.cfg.OnConfirmed(addr, p.PolicyRevision, pending.sentAt.Add(-age))
 	}
+	if n.cfg.OnStoreEra != nil {
+		n.cfg.OnStoreEra(p.StoreEra)
+	}
 	select {
 	case pending.acked <- struct{}{}:
 	default:
