store: a write on a revision or lease of an earlier era is an error

A write could replace an item that is newer than the one it was based on, after a restore of the store.

Cause: a conditional write compares numbers, and a restored store gives them out again.

Evidence: TestWriteReplacesANewerItemAfterARestore failed, with the restore known to the client and not known ('Swapped:true', the other writer's item is gone), and passes.

If the client knows of the restore, the write is not sent. Otherwise the era of the response shows it, after the fact: the error says that the item was written, as after a lost response, and callers read the key back. What remains: until a client knows of the restore, one write can still replace another's item; the store compares numbers only.

--- a/store/restore_test.go
+++ b/store/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -168,3 +169,35 @@
 		t.Errorf("renewal: %t, %v", alive, err)
 	}
 }
+
+func TestWriteReplacesANewerItemAfterARestore(t *testing.T) {
+	ctx := context.Background()
+	for _, known := range []bool{true, false} {
+		kv := fakekv.New(time.Now)
+		c := store.New(kv.Transport(), limits)
+		backup := kv.Copy()
+		put, err := c.Put(ctx, "k", []byte("mine"), store.Revision{}, store.Lease{})
+		if err != nil || !put.Swapped {
+			t.Fatalf("%+v, %v", put, err)
+		}
+		kv.Restore(backup, true)
+		kv.Put("k", []byte("theirs"))
+		if known {
+			if _, err := c.Get(ctx, "other"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		again, err := c.Put(ctx, "k", []byte("mine again"), put.Item.Revision, store.Lease{})
+		var restored *store.RestoredError
+		if !errors.As(err, &restored) {
+			t.Errorf("restore known %t: a write on a revision of the lost history: %+v, %v", known, again, err)
+		}
+		var unavailable *store.UnavailableError
+		if errors.As(err, &unavailable) && unavailable.MaybeWritten == known {
+			t.Errorf("restore known %t: maybe written: %t", known, unavailable.MaybeWritten)
+		}
+		if item, err := c.Get(ctx, "k"); known && (err != nil || string(item.Value) != "theirs") {
+			t.Errorf("%+v, %v", item, err)
+		}
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -63,6 +63,19 @@
 	return fmt.Sprintf("rejected with status %d, without effect", e.Status)
 }
 
+// RestoredError reports that a revision or a lease is of a history that the store
+// no longer has, since it was restored from a copy.
+type RestoredError struct {
+	// Era is that of the revision or lease, Current the store's.
+	Era, Current uint64
+	// Written reports that the store executed a write whose condition named such a revision.
+	Written bool
+}
+
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the store was restored from a copy: revision of era %d, store in era %d", e.Era, e.Current)
+}
+
 // CompactedError reports that the store no longer has the changes that a watch
 // asked for.
 type CompactedError struct {
@@ -159,12 +172,18 @@
 	c.writes.Add(1)
 	out, err := call(ctx)
 	if err != nil {
-		var rejected *RejectedError
-		return zero, &UnavailableError{Op: op, Key: key, MaybeWritten: !errors.As(err, &rejected), Err: err}
+		return zero, &UnavailableError{Op: op, Key: key, MaybeWritten: !hadNoEffect(err), Err: err}
 	}
 	return out, nil
 }
 
+// hadNoEffect reports whether the error of a write shows that nothing was written.
+func hadNoEffect(err error) bool {
+	var rejected *RejectedError
+	var restored *RestoredError
+	return errors.As(err, &rejected) || errors.As(err, &restored) && !restored.Written
+}
+
 // Get reads a key. The item has revision 0 if the key does not exist.
 func (c *Client) Get(ctx context.Context, key string) (Item, error) {
 	item, err := read(ctx, c, "get", key, func(ctx context.Context) (Item, error) { return c.transport.Get(ctx, key) })
@@ -174,14 +193,37 @@
 	return item, err
 }
 
-// Put writes a key if its revision is base.
+// Put writes a key if its revision is base. The error wraps a *RestoredError if base
+// or lease is of an earlier era: another item may have that revision now.
 func (c *Client) Put(ctx context.Context, key string, value []byte, base Revision, lease Lease) (WriteResult, error) {
 	change := ConditionalWrite{Key: key, Value: value, BaseRevision: base, Lease: lease}
-	result, err := write(ctx, c, "put", key, func(ctx context.Context) (WriteResult, error) { return c.transport.Write(ctx, change) })
-	if err == nil {
-		c.observe(result.Item.Revision.Era)
+	return write(ctx, c, "put", key, func(ctx context.Context) (WriteResult, error) {
+		if err := change.checkEra(c.Era()); err != nil {
+			return WriteResult{}, err
+		}
+		result, err := c.transport.Write(ctx, change)
+		if err != nil {
+			return WriteResult{}, err
+		}
+		era := result.Item.Revision.Era
+		c.observe(era)
+		if err := change.checkEra(era); err != nil && result.Swapped {
+			err.Written = true
+			return WriteResult{}, err
+		}
+		return result, nil
+	})
+}
+
+// checkEra returns an error if c names a revision or a lease of an earlier era.
+func (c *ConditionalWrite) checkEra(current uint64) *RestoredError {
+	switch {
+	case c.BaseRevision.Number != 0 && c.BaseRevision.Era < current:
+		return &RestoredError{Era: c.BaseRevision.Era, Current: current}
+	case c.Lease.ID != 0 && c.Lease.Era < current:
+		return &RestoredError{Era: c.Lease.Era, Current: current}
 	}
-	return result, err
+	return nil
 }
 
 // List reads all keys with a prefix, page by page; the pages don't form a
