store: a list is of one era

A list that was read page by page across a restore of the store could have items of both histories.

Evidence: TestListMixesTwoErasOfTheStore failed ('item p/000 of the era before'), passes. The list begins again if the era changes between two pages.

--- a/store/restore_test.go
+++ b/store/restore_test.go
@@ -201,3 +201,32 @@
 		}
 	}
 }
+
+func TestListMixesTwoErasOfTheStore(t *testing.T) {
+	kv := fakekv.New(time.Now)
+	for i := range 120 {
+		kv.Put(fmt.Sprintf("p/%03d", i), []byte("old"))
+	}
+	empty := fakekv.New(time.Now).Copy()
+	tr := kv.Transport()
+	page := tr.Range
+	pages := 0
+	tr.Range = func(ctx context.Context, prefix, after string, stale bool) (store.Page, error) {
+		if pages++; pages == 2 {
+			kv.Restore(empty, true)
+			for i := range 120 {
+				kv.Put(fmt.Sprintf("p/%03d", i), []byte("new"))
+			}
+		}
+		return page(ctx, prefix, after, stale)
+	}
+	items, err := store.New(tr, limits).List(context.Background(), "p/", false)
+	if err != nil || len(items) != 120 {
+		t.Fatalf("%d items, %v", len(items), err)
+	}
+	for _, it := range items {
+		if string(it.Value) != "new" {
+			t.Fatalf("item %s of the era before", it.Key)
+		}
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -227,12 +227,13 @@
 }
 
 // List reads all keys with a prefix, page by page; the pages don't form a
-// consistent snapshot. A stale list may be seconds old and costs the platform a
-// tenth of the load.
+// consistent snapshot, but are of one era. A stale list may be seconds old and
+// costs the platform a tenth of the load.
 func (c *Client) List(ctx context.Context, prefix string, stale bool) ([]Item, error) {
 	var list []Item
+	var era uint64
 	after := ""
-	for range maxPages {
+	for n := range maxPages {
 		page, err := read(ctx, c, "list", prefix, func(ctx context.Context) (Page, error) {
 			return c.transport.Range(ctx, prefix, after, stale)
 		})
@@ -240,11 +241,16 @@
 			return nil, err
 		}
 		c.observe(page.Revision.Era)
+		if n > 0 && page.Revision.Era != era {
+			// The pages before are of a history that the store no longer has.
+			list, after, era = nil, "", page.Revision.Era
+			continue
+		}
 		list = append(list, page.Items...)
 		if !page.HasMore || len(page.Items) == 0 {
 			return list, nil
 		}
-		after = page.Items[len(page.Items)-1].Key
+		after, era = page.Items[len(page.Items)-1].Key, page.Revision.Era
 	}
 	return list, nil
 }
