daemon: tests of a version in force across a restore of the store

TestVersionIsLateIfARestoredStoreReachesItsRevision reproduces what the users report of other systems: a version that was acknowledged is not in force in time.

A cut watch fails too because net/http sends a GET again, without a word, if its kept connection breaks: the same watch, from the old number, against the new history. That makes the failure likelier than it seemed from reading: no restore is too long for it.

--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +71,69 @@
 	s.restoreEmpty(true)
 	s.eventually(entryTimeout, "seed records", func() bool { return s.seeds() == len(s.nodes) })
 }
+
+// revision returns the number of the latest revision of the store.
+func (s *httpCluster) revision() uint64 {
+	s.t.Helper()
+	it, err := s.store.kv.Transport().Get(s.t.Context(), "none")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return it.StoreRevision.Number
+}
+
+func TestVersionIsLateIfARestoredStoreReachesItsRevision(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		s := newHTTPCluster(t)
+		s.configure(7, "two")
+		for range 3 {
+			s.add("one")
+		}
+		s.add("two")
+		for _, n := range s.nodes {
+			s.eventually(5*time.Second, "ready", n.isReady)
+		}
+		time.Sleep(watchEnd)
+		backup := s.store.kv.Copy()
+		s.configure(9, "one")
+		s.configure(10, "one")
+		for _, n := range s.nodes {
+			s.awaitServed(applyTimeout, n, "one")
+		}
+		time.Sleep(watchEnd)
+		known := s.revision()
+		s.store.kv.Restore(backup, cut)
+		s.configure(10, "one")
+		s.configure(11, "two")
+		for s.revision() < known {
+			s.store.kv.Put("other", nil)
+		}
+		for _, n := range s.nodes {
+			s.awaitServed(applyTimeout, n, "two")
+		}
+	}
+}
+
+func TestVersionComesBackOlderAfterARestore(t *testing.T) {
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one := s.add("one")
+	s.add("two")
+	s.awaitServed(5*time.Second, one, "two")
+	backup := s.store.kv.Copy()
+	s.configure(9, "one")
+	for _, n := range s.nodes {
+		s.awaitServed(applyTimeout, n, "one")
+	}
+	s.store.kv.Restore(backup, true)
+	restarted := s.nodes[1]
+	restarted.restart()
+	s.awaitServed(5*time.Second, restarted, "one")
+	for end := time.Now().Add(2 * applyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range s.nodes {
+			if _, _, body := n.request("older"); strings.HasPrefix(body, "from two") {
+				t.Fatalf("%s serves by the version of the copy", n.id)
+			}
+		}
+	}
+}
