front: a status that promises 'not run' needs the server's word for it

Callers saw: 503 (or 408, 429) for a payment that ran. They repeat it after such a status, as a new request.

Cause: the ingress passed the status of a backend server on, whatever it was. Those four statuses tell a caller that the request never ran; but a server states that in a header of its own, and without it the request may have run.

A non-idempotent request with such an answer now gets 502, 'unproven' in the log. An idempotent one still gets the server's answer as it is.

--- a/front/ingress.go
+++ b/front/ingress.go
@@ -191,6 +191,12 @@
 		f.Log.WithFields(f.logFields(r)).WithFields(logrus.Fields{"got": id, "status": resp.Status, "signed": signed}).Warn("response does not match the request")
 		return unknownResponse(reasonLost), admit.NoResponse
 	}
+	if !r.route.Idempotent && meansNotRun(resp.Status) {
+		// The caller would take the status for a promise that the server did not make.
+		resp.Close()
+		f.Log.WithFields(f.logFields(r)).WithField("status", resp.Status).Warn("backend server does not state that the rejected request did not run")
+		return unknownResponse(reasonUnproven), admit.Completed
+	}
 	if resp.Status < http.StatusInternalServerError {
 		f.clearSuspect(r.fingerprint)
 	}
@@ -207,6 +213,15 @@
 	}, admit.Completed
 }
 
+// meansNotRun reports whether callers take a status as a promise that the request did not run.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // parseLoad parses the Load header of a backend server, "running, queued, slots", and returns the
 // running requests and the slots.
 func parseLoad(value string) (running, slots int, ok bool) {
--- a/front/response.go
+++ b/front/response.go
@@ -43,6 +43,7 @@
 	reasonQuarantined  = "quarantine" // the request is quarantined because it crashes backend servers
 	reasonNoInstance   = "noserver"   // no instance of the service is known
 	reasonCrash        = "crash"      // the backend server crashed
+	reasonUnproven     = "unproven"   // the backend server rejected the request and may have run it
 )
 
 // response is the result of one attempt at an instance.
