bench: a deep soak with unsound servers and a store that is restored

It also restores the store from older copies, with and without an outage, and checks that the latest acknowledged version is in force everywhere at the end.

The default soak keeps its list of faults, so that its seeds stay the same.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 MODULES = . bench stand sycctl sycd sycload
 PROGRAMS = sycd sycctl sycload stand bench
 SEED ?= 1
+# Further flags of the soak, such as --deep.
+SOAK ?=
 DURATION ?= 60s
 # The users' bench and the site files of the regression runs, the largest first.
 PLAYER ?=
@@ -28,7 +30,7 @@
 	@bin/bench prove --seed $(SEED) --duration $(DURATION)
 
 soak: build
-	@bin/bench soak --seed $(SEED) --duration $(DURATION)
+	@bin/bench soak --seed $(SEED) --duration $(DURATION) $(SOAK)
 
 slopes: build
 	@bin/bench slopes
--- a/bench/soak.go
+++ b/bench/soak.go
@@ -28,6 +28,7 @@
 const (
 	soakUpper              = "upper"
 	soakLower              = "lower"
+	soakBase               = "base"
 	soakZones              = 3
 	soakCallersPerInstance = 2
 	// soakRequestDelay is the delay between two requests of a caller.
@@ -48,9 +49,13 @@
 	rng        *rand.Rand
 	instances  []*soakInstance
 	storeProxy *faultProxy
-	client     *store.Client
-	g          errgroup.Group
-	cancel     context.CancelFunc
+	// faults are the kinds of faults to inject.
+	faults []soakFault
+	// deep is set if the lower service calls a third one, the base.
+	deep   bool
+	client *store.Client
+	g      errgroup.Group
+	cancel context.CancelFunc
 
 	mu            sync.Mutex
 	runs          map[string]int
@@ -62,18 +67,25 @@
 	measured      [2]int
 	measuring     bool
 	version       uint64
+	// acked is the latest version that the store has acknowledged.
+	acked uint64
 }
 
 func soakCommand(bin, dir *string) *cobra.Command {
 	var seed uint64
 	var dur time.Duration
 	var size int
+	var deep bool
 	cmd := &cobra.Command{Use: "soak", Short: "Inject random faults into the programs on the users' platform", Args: cobra.NoArgs}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the fault schedule")
 	cmd.Flags().DurationVar(&dur, "duration", 40*time.Second, "duration of the run, with the fault-free time at its end")
 	cmd.Flags().IntVar(&size, "size", 9, "instances")
+	cmd.Flags().BoolVar(&deep, "deep", false, "three services that call each other, with unsound servers and a store that is restored from copies")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		s := newSoak(&cluster{opt: options{bin: *bin, dir: *dir}}, seed)
+		if deep {
+			s.deep, s.faults = true, append(s.faults, soakDeepFaults...)
+		}
 		return s.run(cmd.Context(), dur, size)
 	}
 	return cmd
@@ -82,6 +94,7 @@
 func newSoak(c *cluster, seed uint64) *soak {
 	return &soak{
 		c: c, rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{}, nonIdempotent: map[string]bool{}, shed: map[string]string{},
+		faults: soakFaults,
 	}
 }
 
@@ -124,6 +137,7 @@
 	s.setMeasuring(true)
 	sleepFor(ctx, time.Until(end))
 	s.setMeasuring(false)
+	s.checkInForce(ctx)
 	return s.evaluate()
 }
 
@@ -177,7 +191,10 @@
 // addInstance adds an instance, with its fault proxies and its backend server, and without its daemon.
 func (s *soak) addInstance(ctx context.Context, i int) error {
 	n := &soakInstance{service: soakUpper, zone: fmt.Sprintf("z%d", i%soakZones), ip: netip.AddrFrom4([4]byte{127, runOctet, 9, byte(i + 1)})}
-	if i%2 == 1 {
+	switch {
+	case s.deep:
+		n.service = []string{soakUpper, soakLower, soakBase}[i/soakZones%3]
+	case i%2 == 1:
 		n.service = soakLower
 	}
 	n.id = fmt.Sprintf("%s-%d", n.service, i)
@@ -233,7 +250,12 @@
 	}
 	t, err := policy.NewTable([]policy.Route{
 		rule("view", "/view/", soakUpper, 2, true), rule("pay", "/pay/", soakUpper, 0, false), rule("deep", "/deep/", soakLower, 1, true),
-	}, []policy.Service{{Name: soakUpper, HealthPath: "/health", MaxConnections: 100}, {Name: soakLower, HealthPath: "/health", MaxConnections: 100}}, policy.Limits{})
+		rule("base", "/base/", soakBase, 1, true),
+	}, []policy.Service{
+		{Name: soakUpper, HealthPath: "/health", MaxConnections: 100},
+		{Name: soakLower, HealthPath: "/health", MaxConnections: 100},
+		{Name: soakBase, HealthPath: "/health", MaxConnections: 100},
+	}, policy.Limits{})
 	if err != nil {
 		return err
 	}
@@ -245,8 +267,33 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.client.Put(ctx, platform.PolicyKey, []byte(text), item.Revision, store.Lease{})
-	return err
+	put, err := s.client.Put(ctx, platform.PolicyKey, []byte(text), item.Revision, store.Lease{})
+	if err != nil {
+		return err
+	}
+	if !put.Swapped {
+		return errors.New("another version was written at the same time")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked = max(s.acked, version)
+	return nil
+}
+
+// checkInForce checks that the latest acknowledged version is in force at every daemon.
+func (s *soak) checkInForce(ctx context.Context) {
+	s.mu.Lock()
+	want := s.acked
+	s.mu.Unlock()
+	for _, n := range s.instances {
+		op := sycapb.NewOperatorClient(&http.Client{Timeout: time.Second}, "http://"+n.operatorAddr.String())
+		r, err := op.Policy(ctx, connect.NewRequest(&sycapb.PolicyRequest{}))
+		if err != nil {
+			s.recordViolation("in force", n.id, err.Error())
+		} else if r.Msg.Revision < want {
+			s.recordViolation("in force", n.id, fmt.Sprintf("revision %d, %d was acknowledged", r.Msg.Revision, want))
+		}
+	}
 }
 
 // awaitReady waits until every instance has served a request.
--- a/bench/soakapp.go
+++ b/bench/soakapp.go
@@ -25,6 +25,8 @@
 	soakSlots = 16
 	// soakReportInterval is the interval of a backend server's reports to its daemon.
 	soakReportInterval = 400 * time.Millisecond
+	// refuseRatio is the share of its requests that a refusing server refuses.
+	refuseRatio = 0.55
 	// maxArrivalAfterLeave is how long requests may still arrive after the daemon has acknowledged
 	// that the server leaves.
 	maxArrivalAfterLeave = 2 * time.Second
@@ -37,9 +39,12 @@
 	headers    front.Headers
 	extraDelay atomic.Int64
 	corrupting atomic.Bool
-	running    atomic.Int64
-	http       *http.Client
-	statements statements
+	// refusing is set while the server refuses refuseRatio of its requests; repeating and splitting are
+	// those of its listener.
+	refusing, repeating, splitting atomic.Bool
+	running                        atomic.Int64
+	http                           *http.Client
+	statements                     statements
 
 	// lifecycleMu is held while a fault stops and restarts the server.
 	lifecycleMu  sync.Mutex
@@ -71,7 +76,7 @@
 	a.mu.Unlock()
 	a.s.g.Go(func() error {
 		// Serve returns an error when the soak closes the server.
-		_ = srv.Serve(l)
+		_ = srv.Serve(&unsoundListener{Listener: l, repeating: &a.repeating, splitting: &a.splitting})
 		return nil
 	})
 	return nil
@@ -155,7 +160,7 @@
 	case r.Header.Get(a.headers.ExpectedInstance) != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case a.running.Add(1) > soakSlots:
+	case a.running.Add(1) > soakSlots, a.refusing.Load() && rand.Float64() < refuseRatio:
 		a.running.Add(-1)
 		h.Set(a.headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -217,15 +222,22 @@
 	}
 }
 
-// callLower makes the downstream call of a request of the upper service, and returns the response
-// status.
+// callLower makes the downstream calls of a request, and returns the response status.
 func (a *soakServer) callLower(ctx context.Context, request, path string) int {
-	if a.instance.service != soakUpper {
-		return http.StatusOK
+	var calls []string
+	switch {
+	case a.instance.service == soakUpper && a.s.deep:
+		calls = []string{"/deep" + path, "/deep" + path}
+	case a.instance.service == soakUpper:
+		calls = []string{"/deep" + path}
+	case a.instance.service == soakLower && a.s.deep:
+		calls = []string{"/base" + path}
 	}
-	res := a.s.send(ctx, a.http, a.instance.outboundAddr, "/deep"+path, request+".1", "")
-	if res.status != http.StatusOK {
-		return http.StatusInternalServerError
+	for i, call := range calls {
+		res := a.s.send(ctx, a.http, a.instance.outboundAddr, call, fmt.Sprintf("%s.%d", request, i+1), "")
+		if res.status != http.StatusOK {
+			return http.StatusInternalServerError
+		}
 	}
 	return http.StatusOK
 }
--- a/bench/soakfault.go
+++ b/bench/soakfault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -74,10 +75,68 @@
 	{"all-killed", killAllDaemons},
 }
 
+// soakDeepFaults are further faults of a deep soak: servers whose responses are unsound, and a store
+// that is restored from a copy.
+var soakDeepFaults = []soakFault{
+	{"app-refuse", serverFlag(func(a *soakServer) *atomic.Bool { return &a.refusing })},
+	{"app-again", serverFlag(func(a *soakServer) *atomic.Bool { return &a.repeating })},
+	{"app-split", serverFlag(func(a *soakServer) *atomic.Bool { return &a.splitting })},
+	{"service-unsound", makeServiceUnsound},
+	{"service-unsound", makeServiceUnsound},
+	{"service-unsound", makeServiceUnsound},
+	{"store-restore", restoreStore},
+	{"store-restore", restoreStore},
+}
+
+// restoreStore takes the store down and brings it back from a copy that is twice as old as the outage
+// is long, or keeps it up. The operator then writes the policy again.
+func restoreStore(ctx context.Context, s *soak, _ *soakInstance, dur time.Duration) {
+	control := sycapb.NewStoreControlClient(http.DefaultClient, "http://"+storeAddr().String())
+	set := func(f *sycapb.StoreFaults) {
+		if _, err := control.SetFaults(context.WithoutCancel(ctx), connect.NewRequest(f)); err != nil && ctx.Err() == nil {
+			s.recordViolation("store", "-", err.Error())
+		}
+	}
+	outage := dur%2 == 0
+	if outage {
+		set(&sycapb.StoreFaults{Down: true})
+		sleepFor(ctx, dur/2)
+	}
+	set(&sycapb.StoreFaults{RestoreAgeMs: max(1, dur.Milliseconds()), CutWatches: outage})
+	for s.writePolicy(ctx) != nil && sleepFor(ctx, pollInterval) {
+	}
+}
+
+// serverFlag returns a function that sets a flag of a server for a while.
+func serverFlag(flag func(*soakServer) *atomic.Bool) func(context.Context, *soak, *soakInstance, time.Duration) {
+	return func(ctx context.Context, _ *soak, n *soakInstance, dur time.Duration) {
+		flag(n.server).Store(true)
+		sleepFor(ctx, dur)
+		flag(n.server).Store(false)
+	}
+}
+
+// makeServiceUnsound makes all servers of a service refuse requests and write responses again, late and
+// in pieces.
+func makeServiceUnsound(ctx context.Context, s *soak, n *soakInstance, dur time.Duration) {
+	set := func(on bool) {
+		for _, other := range s.instances {
+			if other.service == n.service {
+				other.server.refusing.Store(on)
+				other.server.repeating.Store(on)
+				other.server.splitting.Store(on)
+			}
+		}
+	}
+	set(true)
+	sleepFor(ctx, dur)
+	set(false)
+}
+
 // injectFaults injects random faults until the given time, one after another or overlapping.
 func (s *soak) injectFaults(ctx context.Context, until time.Time) error {
 	for sleepFor(ctx, time.Duration(s.rng.ExpFloat64()*float64(soakFaultInterval))) && time.Now().Before(until) {
-		f := soakFaults[s.rng.IntN(len(soakFaults))]
+		f := s.faults[s.rng.IntN(len(s.faults))]
 		n := s.instances[s.rng.IntN(len(s.instances))]
 		dur := 200*time.Millisecond + time.Duration(s.rng.Int64N(int64(4*time.Second)))
 		dur = max(0, min(dur, time.Until(until)))
--- a/front/unsound_test.go
+++ b/front/unsound_test.go
@@ -149,10 +149,12 @@
 			t.Parallel()
 			route := payRoute
 			route.Timeout = 300 * time.Millisecond
+			s := &unsoundServer{rng: rand.New(rand.NewPCG(seed, 1)), ran: map[string]int{}, written: map[net.Conn][]string{}, writing: map[net.Conn]*sync.Mutex{}}
+			// The servers are closed before.
+			t.Cleanup(func() { _ = s.g.Wait() })
 			cl := newCluster(t, route)
 			source, target := cl.add("dues"), cl.add("plots")
 			other := cl.add("plots")
-			s := &unsoundServer{rng: rand.New(rand.NewPCG(seed, 1)), ran: map[string]int{}, written: map[net.Conn][]string{}, writing: map[net.Conn]*sync.Mutex{}}
 			target.setHandler(s.handle)
 			other.setHandler(s.handle)
 			var g errgroup.Group
@@ -182,7 +184,6 @@
 				})
 			}
 			_ = g.Wait()
-			_ = s.g.Wait()
 		})
 	}
 }
