bench: the soak writes one version at a time

A slow write of a lower version could follow one of a higher version, now that a restore of the store writes one too, and would count as a fault of the daemons. Found by reading, not seen.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -56,6 +56,8 @@
 	client *store.Client
 	g      errgroup.Group
 	cancel context.CancelFunc
+	// policyMu is held while a version is written, so that versions only rise.
+	policyMu sync.Mutex
 
 	mu            sync.Mutex
 	runs          map[string]int
@@ -238,6 +240,8 @@
 
 // writePolicy writes the next version of the configuration.
 func (s *soak) writePolicy(ctx context.Context) error {
+	s.policyMu.Lock()
+	defer s.policyMu.Unlock()
 	s.mu.Lock()
 	s.version += 1 + uint64(s.rng.IntN(3))
 	version := s.version
