member, daemon: an odd entry is not kept

Operators of similar systems saw one odd entry of another writer end the machines that read the list, or keep them from following it. It happens here in part: nothing ends, but with one entry over 1,300 bytes a daemon stops announcing its own changes by gossip, and an entry with 4,294,967,295 slots draws nearly all requests of its service.

Cause: an entry was checked for an ID and an address only. Updates are sent least often sent first; one that never fits into a packet stays first, and nothing follows it.

Entries of seeds in the store are only read for their address; one with port 0 is skipped now, as others were.

The bounds are those of what a daemon can write: a state of the schema, a start time before the year 10000, the slots that a heartbeat may state, a size that fits into a packet. What is dropped is logged once in 10 s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,6 +70,8 @@
 	newWorkGrace = 3 * time.Second
 	// drainPollInterval is the time between two checks for calls in flight while the daemon leaves.
 	drainPollInterval = 20 * time.Millisecond
+	// entryLogInterval is the minimum time between two log lines about invalid member entries.
+	entryLogInterval = 10 * time.Second
 	// lastCallTime is the time before the end of a stop from which downstream calls are rejected too.
 	lastCallTime = time.Second
 )
@@ -124,6 +126,7 @@
 	statedEra    atomic.Uint64
 	inflight     atomic.Int64
 	acceptLog    rate.Sometimes
+	entryLog     rate.Sometimes
 	routesStale  chan struct{}
 	puller       *puller
 	udpSocket    *net.UDPConn
@@ -160,6 +163,7 @@
 		dependencies: newDependencySet(),
 		clock:        suspendClock,
 		acceptLog:    rate.Sometimes{Interval: acceptLogInterval},
+		entryLog:     rate.Sometimes{Interval: entryLogInterval},
 		suspectSem:   make(chan struct{}, 1),
 		routesStale:  make(chan struct{}, 1),
 	}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -61,6 +61,7 @@
 		StoreEra:        d.storeEra,
 		OnStoreEra:      d.memberEra,
 		OnNewerRevision: d.requestPull,
+		OnInvalid:       d.invalidEntry,
 		OnPoison:        d.quarantine.Merge,
 		OnChange:        d.routesChanged,
 		Exchange:        d.exchange,
@@ -68,6 +69,11 @@
 	}
 }
 
+// invalidEntry logs an invalid member entry. Members repeat their entries.
+func (d *Daemon) invalidEntry(err error) {
+	d.entryLog.Do(func() { d.log.WithField("err", err).Warn("invalid member entry") })
+}
+
 // storeEra returns the latest era in a response of the store.
 func (d *Daemon) storeEra() uint64 {
 	if d.platform == nil {
@@ -236,7 +242,7 @@
 		e := new(sycapb.MemberEntry)
 		err := proto.Unmarshal(item.Value, e)
 		addr, addrErr := netip.ParseAddrPort(e.Addr)
-		if err != nil || addrErr != nil {
+		if err != nil || addrErr != nil || addr.Port() == 0 {
 			d.log.WithFields(logrus.Fields{"key": item.Key, "err": err, "addr": e.Addr}).Warn("decode seed record failed; skipping it")
 			continue
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -82,6 +82,9 @@
 	OnStoreEra func(era uint64)
 	// OnNewerRevision is called when a packet shows that addr has a higher policy revision.
 	OnNewerRevision func(addr netip.AddrPort, revision uint64)
+	// OnInvalid is called for each received entry that is invalid, with an *EntryError. It must not
+	// block nor call the Node, and may be nil.
+	OnInvalid func(error)
 	// OnPoison is called with each poison entry received.
 	OnPoison func(*sycapb.PoisonEntry)
 	// OnChange is called after the member list changed. It must not block.
--- a/member/merge.go
+++ b/member/merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 
 	"google.golang.org/protobuf/proto"
 
@@ -46,8 +45,11 @@
 		n.refute(e)
 		return false
 	}
-	addr, err := netip.ParseAddrPort(e.GetAddr())
-	if err != nil || e.Id == "" {
+	addr, err := checkEntry(e)
+	if err != nil {
+		if n.cfg.OnInvalid != nil {
+			n.cfg.OnInvalid(err)
+		}
 		return false
 	}
 	old, ok := n.members[e.Id]
--- a/member/panic_test.go
+++ b/member/panic_test.go
@@ -93,7 +93,7 @@
 		n.Merge(p.Entries)
 		n.HandleSync(&sycapb.SyncRequest{Entries: p.Entries})
 		for _, r := range n.Members() {
-			if r.Entry.Id == "" || !r.Addr.IsValid() {
+			if r.Entry.Id == "" || !r.Addr.IsValid() || r.Addr.Port() == 0 || r.Entry.Slots > 100_000 || proto.Size(r.Entry) > 1100 {
 				t.Errorf("kept %v", r.Entry)
 			}
 		}
