member: an entry with the last epoch is refuted

Another writer's entry about a daemon with the last epoch (4,294,967,295) took that daemon out of service at all others for good.

Cause: the daemon refutes an entry by a later epoch, which overflowed to 0.

After the last epoch comes the next incarnation. An incarnation after the year 9999 is ignored, as the others ignore it.

--- a/member/merge.go
+++ b/member/merge.go
@@ -73,13 +73,17 @@
 
 // refute supersedes an entry about this daemon that is newer than its own.
 func (n *Node) refute(e *sycapb.MemberEntry) {
-	if CompareEntries(e, n.self) <= 0 {
+	if CompareEntries(e, n.self) <= 0 || e.Incarnation > maxIncarnation {
 		return
 	}
 	if e.Incarnation > n.self.Incarnation {
 		n.self.Incarnation = e.Incarnation
 	}
 	n.self.Epoch = max(n.self.Epoch, e.Epoch) + 1
+	if n.self.Epoch == 0 {
+		// No epoch is later than the last one.
+		n.self.Incarnation++
+	}
 	n.updates.add(n.self.Id, transmitLimit(len(n.members)))
 }
 
--- a/member/odd_test.go
+++ b/member/odd_test.go
@@ -69,3 +69,22 @@
 		}
 	}
 }
+
+func TestOddEntryOfALiveMemberIsNotRefuted(t *testing.T) {
+	for _, odd := range []*sycapb.MemberEntry{
+		{Id: "a", Incarnation: 7, Epoch: math.MaxUint32, State: sycapb.MemberState_MEMBER_STATE_DEAD, Addr: "10.0.0.1:7"},
+		{Id: "a", Incarnation: math.MaxUint64, Epoch: math.MaxUint32, State: sycapb.MemberState_MEMBER_STATE_LEFT, Addr: "10.0.0.1:7"},
+		{Id: "a", Incarnation: 7, Epoch: 1, State: 99, Addr: "10.0.0.1:7"},
+	} {
+		n := newOddNode(func(*sycapb.Packet) {})
+		other := member.New(member.Config{Self: &sycapb.MemberEntry{Id: "o", Incarnation: 1, Addr: "10.0.0.9:7"}, Now: time.Now, Revision: func() uint64 { return 0 }},
+			member.Conn{Write: func([]byte, netip.AddrPort) error { return nil }})
+		other.Merge([]*sycapb.MemberEntry{n.Self()})
+		other.Merge([]*sycapb.MemberEntry{odd})
+		n.Merge([]*sycapb.MemberEntry{odd})
+		other.Merge([]*sycapb.MemberEntry{n.Self()})
+		if list := other.Members(); len(list) != 1 || list[0].Entry.State != sycapb.MemberState_MEMBER_STATE_ALIVE {
+			t.Errorf("%v: the other member keeps %v", odd, list)
+		}
+	}
+}
