poison, daemon: an odd poison entry is not merged

With the highest number of lifts an operator's lift of a quarantined request had no effect (the number overflowed to 0), and an entry over 1,300 bytes would never fit into a packet and keep the gossip loop awake.

Entries of other daemons are checked before they are merged; what is dropped is logged.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -62,16 +62,23 @@
 		OnStoreEra:      d.memberEra,
 		OnNewerRevision: d.requestPull,
 		OnInvalid:       d.invalidEntry,
-		OnPoison:        d.quarantine.Merge,
+		OnPoison:        d.mergePoison,
 		OnChange:        d.routesChanged,
 		Exchange:        d.exchange,
 		Guard:           d.guard,
 	}
 }
 
-// invalidEntry logs an invalid member entry. Members repeat their entries.
+// invalidEntry logs an invalid entry of another daemon. Members repeat their entries.
 func (d *Daemon) invalidEntry(err error) {
-	d.entryLog.Do(func() { d.log.WithField("err", err).Warn("invalid member entry") })
+	d.entryLog.Do(func() { d.log.WithField("err", err).Warn("invalid entry received") })
+}
+
+// mergePoison merges a poison entry of another daemon.
+func (d *Daemon) mergePoison(e *sycapb.PoisonEntry) {
+	if err := d.quarantine.Merge(e); err != nil {
+		d.invalidEntry(err)
+	}
 }
 
 // storeEra returns the latest era in a response of the store.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -14,6 +14,7 @@
 package poison
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,10 @@
 	crashesToQuarantine = 2
 	// maxEntries bounds the number of entries in a Registry.
 	maxEntries = 1024
+	// maxEntryBytes is the maximum size of an entry, so that each one fits into a packet.
+	maxEntryBytes = 1024
+	// maxLifts is the maximum number of lifts of an entry. Each one is an operator's call.
+	maxLifts = 1 << 20
 	// suspectTTL is how long a suspect is remembered after its last crash.
 	suspectTTL = 10 * time.Minute
 	// quarantineTTL is how long a quarantine lasts unless it is lifted.
@@ -91,7 +96,7 @@
 func (r *Registry) RecordCrash(id string, inflight []Request) {
 	now := r.now()
 	for _, req := range inflight {
-		r.Merge(&sycapb.PoisonEntry{
+		r.mergeValid(&sycapb.PoisonEntry{
 			Fingerprint: uint64(req.Fingerprint),
 			Service:     req.Service,
 			Method:      req.Method,
@@ -111,9 +116,34 @@
 	return 0
 }
 
+// EntryError reports an entry that no daemon can have written.
+type EntryError struct {
+	Fingerprint uint64
+	Field       string
+}
+
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("poison entry %x: invalid %s", e.Fingerprint, e.Field)
+}
+
 // Merge merges an entry from another daemon. Crashes are merged as a set; a higher lift count
-// discards the crashes of a lower one.
-func (r *Registry) Merge(in *sycapb.PoisonEntry) {
+// discards the crashes of a lower one. The error is an *EntryError.
+func (r *Registry) Merge(in *sycapb.PoisonEntry) error {
+	switch {
+	case in.Lifts > maxLifts:
+		return &EntryError{Fingerprint: in.Fingerprint, Field: "lifts"}
+	case proto.Size(in) > maxEntryBytes:
+		return &EntryError{Fingerprint: in.Fingerprint, Field: "size"}
+	}
+	if now := r.now().UnixMilli(); in.SeenUnixMs > now {
+		in = proto.Clone(in).(*sycapb.PoisonEntry)
+		in.SeenUnixMs = now
+	}
+	r.mergeValid(in)
+	return nil
+}
+
+func (r *Registry) mergeValid(in *sycapb.PoisonEntry) {
 	if e, ok := r.merge(in); ok && r.onChange != nil {
 		r.onChange(e)
 	}
@@ -193,7 +223,7 @@
 	lifted.Crashes = nil
 	lifted.Lifts++
 	lifted.SeenUnixMs = r.now().UnixMilli()
-	r.Merge(lifted)
+	r.mergeValid(lifted)
 	return true
 }
 
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -36,7 +36,7 @@
 		t.Fatal("Lift found no entry")
 	}
 	want(poison.Clear)
-	registry.Merge(&sycapb.PoisonEntry{Fingerprint: uint64(req.Fingerprint), Crashes: []string{"a", "b"}, SeenUnixMs: now.UnixMilli()})
+	_ = registry.Merge(&sycapb.PoisonEntry{Fingerprint: uint64(req.Fingerprint), Crashes: []string{"a", "b"}, SeenUnixMs: now.UnixMilli()})
 	want(poison.Clear)
 }
 
@@ -65,10 +65,10 @@
 		}), 1, 12).Draw(t, "entries")
 		one, two := newRegistry(&now), newRegistry(&now)
 		for _, e := range entries {
-			one.Merge(proto.Clone(e).(*sycapb.PoisonEntry))
+			_ = one.Merge(proto.Clone(e).(*sycapb.PoisonEntry))
 		}
 		for _, e := range rapid.Permutation(entries).Draw(t, "order") {
-			two.Merge(e)
+			_ = two.Merge(e)
 		}
 		for fp := range poison.Fingerprint(4) {
 			if one.State(fp) != two.State(fp) {
