daemon, store, member: a key does not run again after a restore of the store

A non-idempotent call with only an idempotency key ran a second time if the store came back from a copy without the claim of that key. Not seen; found by reading and shown by a test.

Cause: a missing claim was taken for a call that never ran.

Evidence: TestKeyRunsAgainAfterARestore, four cases (the restore known to the daemons or not, the retry at the same or another entry), all failed with 'ran again' and pass.

A claim that was written into a restored store before the daemon knew is withdrawn. Acks carry the age of the era, so that a daemon that starts later does not take an old restore for a new one (TestRestartedDaemonTakesAnOldRestoreForANewOne).

--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
@@ -94,6 +95,9 @@
 	if err != nil {
 		return refuse(sycapb.Reason_REASON_PLATFORM, err)
 	}
+	if d.claimsMayBeLost() {
+		return d.findClaim(ctx, o, storeKey, base)
+	}
 	t := d.openTicket(ctx, &sycapb.TicketRequest{Service: o.call.Service, Method: o.call.Method})
 	if t.Ticket == nil {
 		return refuse(t.Reason, errors.New(t.Detail))
@@ -106,12 +110,46 @@
 	if err != nil {
 		return refuse(sycapb.Reason_REASON_PLATFORM, err)
 	}
+	cl, err := decodeClaim(item)
+	if err != nil {
+		return refuse(sycapb.Reason_REASON_PLATFORM, err)
+	}
+	cl.created = string(cl.ticket) == string(t.Ticket)
+	return cl, nil
+}
+
+// claimsMayBeLost reports whether the store was restored so lately that it may lack
+// a claim that is still valid.
+func (d *Daemon) claimsMayBeLost() bool {
+	age, restored := d.platform.EraAge()
+	return restored && age < claimTTL
+}
+
+// findClaim returns the claim in the store, or a refusal if there is none or if it
+// has the revision base, which the caller wants to replace. The claim that is missing
+// may have been lost in a restore of the store, after the call ran.
+func (d *Daemon) findClaim(ctx context.Context, o *outbound, storeKey string, base store.Revision) (*claim, *sycapb.Reply) {
+	item, err := d.platform.Get(ctx, storeKey)
+	if err == nil && (item.Revision.Number == 0 || item.Revision == base) {
+		err = errors.New("the platform was restored from a copy and may have lost the claim of this key; open a ticket instead")
+	}
+	var cl *claim
+	if err == nil {
+		cl, err = decodeClaim(item)
+	}
+	if err != nil {
+		return nil, action.EmptyReply(o.call, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_PLATFORM, err.Error())
+	}
+	return cl, nil
+}
+
+// decodeClaim decodes the claim of an item. A claim that was withdrawn has no ticket.
+func decodeClaim(item store.Item) (*claim, error) {
 	stored := new(sycapb.Claim)
 	if err := proto.Unmarshal(item.Value, stored); err != nil || len(stored.Ticket) == 0 {
-		return refuse(sycapb.Reason_REASON_PLATFORM, errors.Errorf("claim %q cannot be read", storeKey))
+		return nil, errors.Errorf("claim %q cannot be read or was withdrawn", item.Key)
 	}
-	own := string(stored.Ticket) == string(t.Ticket)
-	return &claim{storeKey: storeKey, revision: item.Revision, ticket: stored.Ticket, created: own}, nil
+	return &claim{storeKey: item.Key, revision: item.Revision, ticket: stored.Ticket}, nil
 }
 
 // updateClaimRate sets and returns this daemon's limit of claims per second: its
@@ -135,22 +173,54 @@
 		}
 		return put.Item, nil
 	}
+	var restored *store.RestoredError
+	if errors.As(err, &restored) {
+		d.dropLease(lease)
+		if restored.Written {
+			d.withdrawClaim(ctx, storeKey, value)
+		}
+		return store.Item{}, err
+	}
 	item, readErr := d.platform.Get(ctx, storeKey)
 	if readErr != nil {
 		return store.Item{}, err
 	}
-	if item.Revision.Number <= base.Number {
+	if item.Revision.Number == 0 || item.Revision == base {
 		return store.Item{}, err
 	}
 	return item, nil
 }
 
+// withdrawClaim replaces a claim with the given value by one without a ticket. The
+// claim was written into a store that has just been restored, over one that was lost.
+func (d *Daemon) withdrawClaim(ctx context.Context, storeKey string, value []byte) {
+	withdraw := func() error {
+		item, err := d.platform.Get(ctx, storeKey)
+		if err != nil || string(item.Value) != string(value) {
+			return err
+		}
+		empty, err := proto.Marshal(&sycapb.Claim{Key: storeKey})
+		if err != nil {
+			return err
+		}
+		lease, err := d.claimLease(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = d.platform.Put(ctx, storeKey, empty, item.Revision, lease)
+		return err
+	}
+	if err := withdraw(); err != nil {
+		d.log.WithFields(logrus.Fields{"key": storeKey, "err": err}).Error("withdraw claim failed")
+	}
+}
+
 // claimLease returns a lease that lasts for at least claimTTL.
 func (d *Daemon) claimLease(ctx context.Context) (store.Lease, error) {
 	d.leaseMu.Lock()
 	defer d.leaseMu.Unlock()
 	requestedAt := time.Now()
-	if d.lease.id.ID != 0 && requestedAt.Sub(d.lease.grantedAt) < claimLeaseReuse {
+	if d.lease.id.ID != 0 && d.lease.id.Era == d.platform.Era() && requestedAt.Sub(d.lease.grantedAt) < claimLeaseReuse {
 		return d.lease.id, nil
 	}
 	id, err := d.platform.Grant(ctx, claimTTL+2*claimLeaseReuse)
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,6 +24,8 @@
 	"sycamorespread.dev/caller"
 	"sycamorespread.dev/config"
 	"sycamorespread.dev/daemon"
+	"sycamorespread.dev/fakekv"
+	"sycamorespread.dev/platform"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -120,6 +124,9 @@
 	id    int32
 	g     errgroup.Group
 	nodes []*node
+	// store is the platform's store, nil for none; storeAddr is its address.
+	store     *fakekv.Store
+	storeAddr netip.AddrPort
 }
 
 const (
@@ -131,6 +138,14 @@
 // clusters counts the clusters of this process.
 var clusters atomic.Int32
 
+// addStore starts the platform's store. It is called before the first add.
+func (f *cluster) addStore() {
+	f.store = fakekv.New(time.Now)
+	srv := httptest.NewServer(platform.StoreHandler(f.store.Transport()))
+	f.t.Cleanup(srv.Close)
+	f.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+}
+
 // ip returns the loopback address of the next node. Each process, cluster and
 // node has its own, so that no other socket can occupy the ports.
 func (f *cluster) ip() netip.Addr {
@@ -155,6 +170,9 @@
 	b.start(f.t, &f.g)
 	text += fmt.Sprintf("[server]\nservice = %s\naddr = %s\nslots = %d\nconnections = 1000\n", service, b.listen, slots)
 	text += fmt.Sprintf("[policy]\nfile = %s/policy.ini\n", f.t.TempDir())
+	if f.store != nil {
+		text += fmt.Sprintf("[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n", f.storeAddr)
+	}
 	n := &node{fakeServer: b, cfg: f.parse(text)}
 	f.run(n)
 	f.nodes = append(f.nodes, n)
@@ -175,7 +193,7 @@
 	f.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := daemon.New(n.cfg, logrus.NewEntry(log), daemon.Adapter{})
+	d, err := daemon.New(n.cfg, logrus.NewEntry(log), daemon.Adapter{StoreTransport: platform.NewTransport})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -81,18 +81,23 @@
 	}
 }
 
-// storeEra returns the latest era in a response of the store.
-func (d *Daemon) storeEra() uint64 {
+// storeEra returns the latest era in a response of the store and its known age.
+func (d *Daemon) storeEra() (era uint64, age time.Duration) {
 	if d.platform == nil {
-		return 0
+		return 0, 0
 	}
-	return d.platform.Era()
+	age, _ = d.platform.EraAge()
+	return d.platform.Era(), age
 }
 
 // memberEra handles the era of the store that a member stated. A later one is a
 // reason to ask the store, once for each era; only a response of the store is proof.
-func (d *Daemon) memberEra(era uint64) {
-	if known := d.statedEra.Load(); era > max(known, d.storeEra()) && d.statedEra.CompareAndSwap(known, era) {
+func (d *Daemon) memberEra(era uint64, age time.Duration) {
+	if d.platform == nil {
+		return
+	}
+	d.platform.ConfirmEraAge(era, age)
+	if known := d.statedEra.Load(); era > max(known, d.platform.Era()) && d.statedEra.CompareAndSwap(known, era) {
 		d.finder.ReportLost()
 	}
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -365,6 +365,9 @@
 		values["platform.writes"] = float64(c.Writes)
 		values["platform.watches"] = float64(c.Watches)
 		values["platform.era"] = float64(d.platform.Era())
+		if age, restored := d.platform.EraAge(); restored {
+			values["platform.era_age_ms"] = float64(age.Milliseconds())
+		}
 	}
 	if d.front != nil {
 		values["front.dials_server"] = float64(d.serverPool.Dials())
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -1,11 +1,16 @@
 package daemon_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
+	"sycamorespread.dev/caller"
 	"sycamorespread.dev/fakekv"
+	"sycamorespread.dev/sycapb"
 )
 
 // entryTimeout is the time after the return of the store within which the users require lost entries
@@ -137,3 +142,86 @@
 		}
 	}
 }
+
+func TestKeyRunsAgainAfterARestore(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		known, again bool
+	}{{true, true}, {false, true}, {true, false}, {false, false}} {
+		f := newCluster(t)
+		f.addStore()
+		first, second := f.add("front", 10), f.add("front", 10)
+		f.awaitReady()
+		do := func(entry *node, key string) *caller.Result {
+			req := pay("x")
+			req.IdempotencyKey = key
+			return f.client(0, entry).Do(context.Background(), req)
+		}
+		if res := do(first, "before"); res.Outcome != sycapb.Outcome_OUTCOME_DONE {
+			t.Fatalf("%s %s", res.Outcome, res.Detail)
+		}
+		backup := f.store.Copy()
+		if res := do(first, "season 2027"); res.Outcome != sycapb.Outcome_OUTCOME_DONE {
+			t.Fatalf("%s %s", res.Outcome, res.Detail)
+		}
+		runs := first.runs.Load() + second.runs.Load()
+		f.store.Restore(backup, true)
+		if c.known {
+			time.Sleep(entryTimeout)
+		}
+		entry := second
+		if c.again {
+			entry = first
+		}
+		for range 3 {
+			if res := do(entry, "season 2027"); res.Outcome != sycapb.Outcome_OUTCOME_NOTRUN || res.Reason != sycapb.Reason_REASON_PLATFORM {
+				t.Errorf("%+v: %s %s %s", c, res.Outcome, res.Reason, res.Detail)
+			}
+		}
+		if now := first.runs.Load() + second.runs.Load(); now != runs {
+			t.Errorf("%+v: a call with a key that has run ran again", c)
+		}
+	}
+}
+
+// eraAge returns the age of the store's era as the daemon knows it, 0 if it knows none.
+func (n *node) eraAge() time.Duration {
+	r, err := n.operator().Metrics(context.Background(), connect.NewRequest(&sycapb.MetricsRequest{}))
+	if err != nil {
+		return 0
+	}
+	for _, m := range r.Msg.Metrics {
+		if m.Name == "platform.era_age_ms" {
+			return time.Duration(m.Value) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+func TestRestartedDaemonTakesAnOldRestoreForANewOne(t *testing.T) {
+	t.Parallel()
+	f := newCluster(t)
+	f.addStore()
+	first, second := f.add("front", 10), f.add("front", 10)
+	f.awaitReady()
+	f.store.Restore(f.store.Copy(), true)
+	const age = 4 * time.Second
+	for end := time.Now().Add(readyTimeout); first.eraAge() < age; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the restore is not noticed")
+		}
+	}
+	second.stop()
+	if err := <-second.done; err != nil {
+		t.Fatal(err)
+	}
+	f.run(second)
+	for end := time.Now().Add(readyTimeout); second.eraAge() < age; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("age %s, the other daemon knows %s", second.eraAge(), first.eraAge())
+		}
+	}
+	if slack := first.eraAge() - second.eraAge(); slack > time.Second {
+		t.Errorf("the restarted daemon takes the era for %s younger", slack)
+	}
+}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -210,7 +210,8 @@
 		}
 	}
 	if p.Kind == sycapb.Packet_KIND_ACK && n.cfg.StoreEra != nil {
-		p.StoreEra = n.cfg.StoreEra()
+		era, age := n.cfg.StoreEra()
+		p.StoreEra, p.StoreEraAgeMs = era, uint32(min(math.MaxUint32, age/time.Millisecond))
 	}
 	if n.revisionSends > 0 {
 		n.revisionSends--
--- a/member/member.go
+++ b/member/member.go
@@ -76,10 +76,11 @@
 	// OnConfirmed is called when an ack from addr shows that a revision was the newest one at a time of
 	// Clock. It may be nil.
 	OnConfirmed func(addr netip.AddrPort, revision uint64, at time.Time)
-	// StoreEra returns the latest known era of the store. It may be nil.
-	StoreEra func() uint64
-	// OnStoreEra is called with the era that a member states in an ack. It may be nil.
-	OnStoreEra func(era uint64)
+	// StoreEra returns the latest known era of the store, and the time for which the store is known to
+	// have been in it. It may be nil.
+	StoreEra func() (era uint64, age time.Duration)
+	// OnStoreEra is called with the era and the age that a member states in an ack. It may be nil.
+	OnStoreEra func(era uint64, age time.Duration)
 	// OnNewerRevision is called when a packet shows that addr has a higher policy revision.
 	OnNewerRevision func(addr netip.AddrPort, revision uint64)
 	// OnInvalid is called for each received entry that is invalid, with an *EntryError. It must not
--- a/store/store.go
+++ b/store/store.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -102,8 +103,11 @@
 	// eras before and after. It may be nil, and is set before the first call.
 	OnRestored func(from, to uint64)
 
-	// nextEra is the number after the latest known era, 0 if none is known.
+	// nextEra is the number after the latest known era, 0 if none is known. eraMu serializes its changes
+	// and guards eraSince, the earliest time at which the store is known to have been in the era.
 	nextEra                atomic.Uint64
+	eraMu                  sync.Mutex
+	eraSince               time.Time
 	transport              Transport
 	readLimit, writeLimit  *rate.Limiter
 	reads, writes, watches atomic.Int64
@@ -128,21 +132,43 @@
 	return max(c.nextEra.Load(), 1) - 1
 }
 
+// EraAge returns the time for which the store is known to have been in its era. It
+// returns false if the store was never restored.
+func (c *Client) EraAge() (time.Duration, bool) {
+	c.eraMu.Lock()
+	defer c.eraMu.Unlock()
+	if c.nextEra.Load() <= 1 {
+		return 0, false
+	}
+	return time.Since(c.eraSince), true
+}
+
+// ConfirmEraAge records that the store has been in an era for at least age, as
+// another client knows. It has no effect on other eras than the latest known one.
+func (c *Client) ConfirmEraAge(era uint64, age time.Duration) {
+	c.eraMu.Lock()
+	defer c.eraMu.Unlock()
+	if since := time.Now().Add(-age); era+1 == c.nextEra.Load() && since.Before(c.eraSince) {
+		c.eraSince = since
+	}
+}
+
 // observe records the era of a response.
 func (c *Client) observe(era uint64) {
-	for {
-		next := c.nextEra.Load()
-		if era < next {
-			return
-		}
-		if !c.nextEra.CompareAndSwap(next, era+1) {
-			continue
-		}
-		if next > 0 && c.OnRestored != nil {
-			c.OnRestored(next-1, era)
-		}
+	if era < c.nextEra.Load() {
 		return
 	}
+	c.eraMu.Lock()
+	next := c.nextEra.Load()
+	later := era >= next
+	if later {
+		c.nextEra.Store(era + 1)
+		c.eraSince = time.Now()
+	}
+	c.eraMu.Unlock()
+	if later && next > 0 && c.OnRestored != nil {
+		c.OnRestored(next-1, era)
+	}
 }
 
 // read makes one read call, subject to the read rate and the call timeout.
