store, member: only a restore that a daemon saw, or was told of, counts

The first era in a response proves nothing. What counts is a rise that the daemon saw, or the statement of a member, in an ack or in the reply to a join, which comes before a starting daemon accepts calls.

Evidence: TestRestartedDaemonDoesNotKnowOfARestore, with a call by key at the restarted daemon; without the statements it fails.

Open: a daemon that starts alone, with no member in reach, knows of no restore.

--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -121,7 +121,7 @@
 // claimsMayBeLost reports whether the store was restored so lately that it may lack
 // a claim that is still valid.
 func (d *Daemon) claimsMayBeLost() bool {
-	age, restored := d.platform.EraAge()
+	age, restored := d.platform.SinceRestore()
 	return restored && age < claimTTL
 }
 
@@ -220,7 +220,8 @@
 	d.leaseMu.Lock()
 	defer d.leaseMu.Unlock()
 	requestedAt := time.Now()
-	if d.lease.id.ID != 0 && d.lease.id.Era == d.platform.Era() && requestedAt.Sub(d.lease.grantedAt) < claimLeaseReuse {
+	era, _ := d.platform.Era()
+	if d.lease.id.ID != 0 && d.lease.id.Era == era && requestedAt.Sub(d.lease.grantedAt) < claimLeaseReuse {
 		return d.lease.id, nil
 	}
 	id, err := d.platform.Grant(ctx, claimTTL+2*claimLeaseReuse)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -81,23 +81,27 @@
 	}
 }
 
-// storeEra returns the latest era in a response of the store and its known age.
-func (d *Daemon) storeEra() (era uint64, age time.Duration) {
-	if d.platform == nil {
-		return 0, 0
+// storeEra returns the latest era in a response of the store, and the latest restore
+// that this daemon knows of.
+func (d *Daemon) storeEra() (e member.StoreEra) {
+	if d.platform != nil {
+		e.Era, _ = d.platform.Era()
+		e.SinceRestore, e.Restored = d.platform.SinceRestore()
 	}
-	age, _ = d.platform.EraAge()
-	return d.platform.Era(), age
+	return e
 }
 
 // memberEra handles the era of the store that a member stated. A later one is a
 // reason to ask the store, once for each era; only a response of the store is proof.
-func (d *Daemon) memberEra(era uint64, age time.Duration) {
+func (d *Daemon) memberEra(e member.StoreEra) {
 	if d.platform == nil {
 		return
 	}
-	d.platform.ConfirmEraAge(era, age)
-	if known := d.statedEra.Load(); era > max(known, d.platform.Era()) && d.statedEra.CompareAndSwap(known, era) {
+	if e.Restored {
+		d.platform.StateRestore(e.Era, e.SinceRestore)
+	}
+	own, known := d.platform.Era()
+	if stated := d.statedEra.Load(); known && e.Era > max(stated, own) && d.statedEra.CompareAndSwap(stated, e.Era) {
 		d.finder.ReportLost()
 	}
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -364,9 +364,10 @@
 		values["platform.reads"] = float64(c.Reads)
 		values["platform.writes"] = float64(c.Writes)
 		values["platform.watches"] = float64(c.Watches)
-		values["platform.era"] = float64(d.platform.Era())
-		if age, restored := d.platform.EraAge(); restored {
-			values["platform.era_age_ms"] = float64(age.Milliseconds())
+		e := d.storeEra()
+		values["platform.era"] = float64(e.Era)
+		if e.Restored {
+			values["platform.restore_age_ms"] = float64(e.SinceRestore.Milliseconds())
 		}
 	}
 	if d.front != nil {
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -38,8 +38,7 @@
 	if !d.policyHolder.Update(p) {
 		return
 	}
-	era, _ := d.storeEra()
-	d.log.WithFields(logrus.Fields{"revision": p.Revision, "change": p.ChangeID, "from": source, "era": era, "announced_ms": d.confirmed.TakeDelay().Milliseconds()}).Info("policy in force")
+	d.log.WithFields(logrus.Fields{"revision": p.Revision, "change": p.ChangeID, "from": source, "era": d.storeEra().Era, "announced_ms": d.confirmed.TakeDelay().Milliseconds()}).Info("policy in force")
 	d.node.AnnounceRevision()
 }
 
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -184,21 +184,21 @@
 	}
 }
 
-// eraAge returns the age of the store's era as the daemon knows it, 0 if it knows none.
-func (n *node) eraAge() time.Duration {
+// restoreAge returns the time since the latest restore that the daemon knows of, 0 if it knows none.
+func (n *node) restoreAge() time.Duration {
 	r, err := n.operator().Metrics(context.Background(), connect.NewRequest(&sycapb.MetricsRequest{}))
 	if err != nil {
 		return 0
 	}
 	for _, m := range r.Msg.Metrics {
-		if m.Name == "platform.era_age_ms" {
+		if m.Name == "platform.restore_age_ms" {
 			return time.Duration(m.Value) * time.Millisecond
 		}
 	}
 	return 0
 }
 
-func TestRestartedDaemonTakesAnOldRestoreForANewOne(t *testing.T) {
+func TestRestartedDaemonDoesNotKnowOfARestore(t *testing.T) {
 	t.Parallel()
 	f := newCluster(t)
 	f.addStore()
@@ -206,7 +206,7 @@
 	f.awaitReady()
 	f.store.Restore(f.store.Copy(), true)
 	const age = 4 * time.Second
-	for end := time.Now().Add(readyTimeout); first.eraAge() < age; time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(readyTimeout); first.restoreAge() < age; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the restore is not noticed")
 		}
@@ -216,12 +216,17 @@
 		t.Fatal(err)
 	}
 	f.run(second)
-	for end := time.Now().Add(readyTimeout); second.eraAge() < age; time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(readyTimeout); second.restoreAge() < age; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("age %s, the other daemon knows %s", second.eraAge(), first.eraAge())
+			t.Fatalf("age %s, the other daemon knows %s", second.restoreAge(), first.restoreAge())
 		}
 	}
-	if slack := first.eraAge() - second.eraAge(); slack > time.Second {
-		t.Errorf("the restarted daemon takes the era for %s younger", slack)
+	if slack := first.restoreAge() - second.restoreAge(); slack > time.Second {
+		t.Errorf("the restarted daemon takes the restore for %s younger", slack)
+	}
+	req := pay("x")
+	req.IdempotencyKey = "new"
+	if res := f.client(0, second).Do(context.Background(), req); res.Outcome != sycapb.Outcome_OUTCOME_NOTRUN {
+		t.Errorf("a call with a key that the restore may have lost: %s", res.Outcome)
 	}
 }
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -210,8 +210,8 @@
 		}
 	}
 	if p.Kind == sycapb.Packet_KIND_ACK && n.cfg.StoreEra != nil {
-		era, age := n.cfg.StoreEra()
-		p.StoreEra, p.StoreEraAgeMs = era, uint32(min(math.MaxUint32, age/time.Millisecond))
+		e := n.cfg.StoreEra()
+		p.StoreEra, p.RestoreAgeMs = e.Era, e.ageMs()
 	}
 	if n.revisionSends > 0 {
 		n.revisionSends--
--- a/member/member.go
+++ b/member/member.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -76,11 +77,10 @@
 	// OnConfirmed is called when an ack from addr shows that a revision was the newest one at a time of
 	// Clock. It may be nil.
 	OnConfirmed func(addr netip.AddrPort, revision uint64, at time.Time)
-	// StoreEra returns the latest known era of the store, and the time for which the store is known to
-	// have been in it. It may be nil.
-	StoreEra func() (era uint64, age time.Duration)
-	// OnStoreEra is called with the era and the age that a member states in an ack. It may be nil.
-	OnStoreEra func(era uint64, age time.Duration)
+	// StoreEra returns what is known of the store. It may be nil.
+	StoreEra func() StoreEra
+	// OnStoreEra is called with what a member states in an ack or a SyncReply. It may be nil.
+	OnStoreEra func(StoreEra)
 	// OnNewerRevision is called when a packet shows that addr has a higher policy revision.
 	OnNewerRevision func(addr netip.AddrPort, revision uint64)
 	// OnInvalid is called for each received entry that is invalid, with an *EntryError. It must not
@@ -96,6 +96,30 @@
 	Guard *guard.Guard
 }
 
+// StoreEra is the latest era of the store that a daemon knows.
+type StoreEra struct {
+	Era uint64
+	// SinceRestore is the time since the restore that began the era; Restored is false if none is known.
+	SinceRestore time.Duration
+	Restored     bool
+}
+
+// ageMs returns the age of the restore for a message, nil if none is known.
+func (e StoreEra) ageMs() *uint32 {
+	if !e.Restored {
+		return nil
+	}
+	return proto.Uint32(uint32(min(math.MaxUint32, e.SinceRestore/time.Millisecond)))
+}
+
+func decodeStoreEra(era uint64, ageMs *uint32) StoreEra {
+	e := StoreEra{Era: era, Restored: ageMs != nil}
+	if e.Restored {
+		e.SinceRestore = time.Duration(*ageMs) * time.Millisecond
+	}
+	return e
+}
+
 // Conn is the part of a UDP socket that a Node uses.
 type Conn struct {
 	// Read blocks until it has read one packet.
--- a/member/probe.go
+++ b/member/probe.go
@@ -179,7 +179,7 @@
 		n.cfg.OnConfirmed(addr, p.PolicyRevision, pending.sentAt.Add(-age))
 	}
 	if n.cfg.OnStoreEra != nil {
-		n.cfg.OnStoreEra(p.StoreEra, time.Duration(p.StoreEraAgeMs)*time.Millisecond)
+		n.cfg.OnStoreEra(decodeStoreEra(p.StoreEra, p.RestoreAgeMs))
 	}
 	select {
 	case pending.acked <- struct{}{}:
--- a/member/sync.go
+++ b/member/sync.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		return err
 	}
+	if n.cfg.OnStoreEra != nil {
+		n.cfg.OnStoreEra(decodeStoreEra(reply.StoreEra, reply.RestoreAgeMs))
+	}
 	newer := n.entriesNewerThan(n.zoneEntries(reply.Differ), reply.Entries)
 	n.Merge(reply.Entries)
 	if len(newer) == 0 {
@@ -160,7 +163,12 @@
 		}
 	}
 	slices.Sort(differing)
-	return &sycapb.SyncReply{Differ: differing, Entries: n.zoneEntries(differing)}
+	reply := &sycapb.SyncReply{Differ: differing, Entries: n.zoneEntries(differing)}
+	if n.cfg.StoreEra != nil {
+		e := n.cfg.StoreEra()
+		reply.StoreEra, reply.RestoreAgeMs = e.Era, e.ageMs()
+	}
+	return reply
 }
 
 // digests returns a hash of the entries of each zone that does not depend on
--- a/store/store.go
+++ b/store/store.go
@@ -104,10 +104,10 @@
 	OnRestored func(from, to uint64)
 
 	// nextEra is the number after the latest known era, 0 if none is known. eraMu serializes its changes
-	// and guards eraSince, the earliest time at which the store is known to have been in the era.
+	// and guards the restores that are known.
 	nextEra                atomic.Uint64
 	eraMu                  sync.Mutex
-	eraSince               time.Time
+	observed, stated       restore
 	transport              Transport
 	readLimit, writeLimit  *rate.Limiter
 	reads, writes, watches atomic.Int64
@@ -127,29 +127,44 @@
 	return Counts{Reads: c.reads.Load(), Writes: c.writes.Load(), Watches: c.watches.Load()}
 }
 
-// Era returns the latest era that a response had, 0 if there was none.
-func (c *Client) Era() uint64 {
-	return max(c.nextEra.Load(), 1) - 1
+// Era returns the latest era that a response had, and false if there was none.
+func (c *Client) Era() (uint64, bool) {
+	next := c.nextEra.Load()
+	return max(next, 1) - 1, next > 0
+}
+
+// restore is a restore of the store that began an era. at is the earliest time at which
+// the store is known to have been in that era, zero if no restore is known.
+type restore struct {
+	era uint64
+	at  time.Time
 }
 
-// EraAge returns the time for which the store is known to have been in its era. It
-// returns false if the store was never restored.
-func (c *Client) EraAge() (time.Duration, bool) {
+// SinceRestore returns the time since the latest restore that this client observed or
+// another one stated. It returns false if none is known.
+func (c *Client) SinceRestore() (time.Duration, bool) {
 	c.eraMu.Lock()
 	defer c.eraMu.Unlock()
-	if c.nextEra.Load() <= 1 {
+	last := c.observed
+	switch {
+	case c.stated.at.IsZero() || c.stated.era+1 < c.nextEra.Load():
+	case last.at.IsZero() || last.era < c.stated.era || c.stated.at.Before(last.at):
+		last = c.stated
+	}
+	if last.at.IsZero() {
 		return 0, false
 	}
-	return time.Since(c.eraSince), true
+	return time.Since(last.at), true
 }
 
-// ConfirmEraAge records that the store has been in an era for at least age, as
-// another client knows. It has no effect on other eras than the latest known one.
-func (c *Client) ConfirmEraAge(era uint64, age time.Duration) {
+// StateRestore records that another client knows of a restore that began an era at
+// least age ago.
+func (c *Client) StateRestore(era uint64, age time.Duration) {
 	c.eraMu.Lock()
 	defer c.eraMu.Unlock()
-	if since := time.Now().Add(-age); era+1 == c.nextEra.Load() && since.Before(c.eraSince) {
-		c.eraSince = since
+	at := time.Now().Add(-age)
+	if c.stated.at.IsZero() || era > c.stated.era || era == c.stated.era && at.Before(c.stated.at) {
+		c.stated = restore{era: era, at: at}
 	}
 }
 
@@ -160,13 +175,16 @@
 	}
 	c.eraMu.Lock()
 	next := c.nextEra.Load()
-	later := era >= next
-	if later {
+	if era >= next {
 		c.nextEra.Store(era + 1)
-		c.eraSince = time.Now()
+	}
+	// The first era that is observed may be that of a store that was never restored.
+	restored := next > 0 && era >= next
+	if restored {
+		c.observed = restore{era: era, at: time.Now()}
 	}
 	c.eraMu.Unlock()
-	if later && next > 0 && c.OnRestored != nil {
+	if restored && c.OnRestored != nil {
 		c.OnRestored(next-1, era)
 	}
 }
@@ -224,7 +242,8 @@
 func (c *Client) Put(ctx context.Context, key string, value []byte, base Revision, lease Lease) (WriteResult, error) {
 	change := ConditionalWrite{Key: key, Value: value, BaseRevision: base, Lease: lease}
 	return write(ctx, c, "put", key, func(ctx context.Context) (WriteResult, error) {
-		if err := change.checkEra(c.Era()); err != nil {
+		known, _ := c.Era()
+		if err := change.checkEra(known); err != nil {
 			return WriteResult{}, err
 		}
 		result, err := c.transport.Write(ctx, change)
