--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -230,3 +230,15 @@
 		t.Errorf("a call with a key that the restore may have lost: %s", res.Outcome)
 	}
 }
+
+func TestMembersAreLostInARestore(t *testing.T) {
+	s := newSeeded(t, 1, 3)
+	s.store.kv.Restore(fakekv.New(time.Now).Copy(), true)
+	for end := time.Now().Add(2 * applyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range s.nodes {
+			if status, _, body := n.request("r"); status != 200 || !strings.HasPrefix(body, "from two") {
+				t.Fatalf("%s: status %d %s", n.id, status, body)
+			}
+		}
+	}
+}
