--- a/bench/soak.go
+++ b/bench/soak.go
@@ -290,7 +290,7 @@
 	want := s.acked
 	s.mu.Unlock()
 	for _, n := range s.instances {
-		op := sycapb.NewOperatorClient(&http.Client{Timeout: time.Second}, "http://"+n.operatorAddr.String())
+		op := sycapb.NewOperatorClient(&http.Client{Timeout: startTimeout}, "http://"+n.operatorAddr.String())
 		r, err := op.Policy(ctx, connect.NewRequest(&sycapb.PolicyRequest{}))
 		if err != nil {
 			s.recordViolation("in force", n.id, err.Error())
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -107,6 +107,8 @@
 	log atomic.Pointer[logtest.Hook]
 	// storeCalls counts the calls to the store.
 	storeCalls atomic.Int64
+	// lastStoreCall is the path of the last one.
+	lastStoreCall atomic.Pointer[string]
 }
 
 func newHTTPCluster(t *testing.T) *httpCluster {
@@ -189,6 +191,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		n.storeCalls.Add(1)
+		n.lastStoreCall.Store(&r.URL.Path)
 		before := s.silence.Load()
 		response := httptest.NewRecorder()
 		storeHandler.ServeHTTP(response, r)
