--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -33,11 +33,13 @@
 	s := newHTTPCluster(t)
 	s.zones = zones
 	s.configure(7, "two")
-	one := s.add("one")
+	s.add("one")
 	for len(s.nodes) < zones*perZone {
 		s.add("two")
 	}
-	s.awaitServed(5*time.Second, one, "two")
+	for _, n := range s.nodes {
+		s.awaitServed(5*time.Second, n, "two")
+	}
 	s.eventually(5*time.Second, "seed records", func() bool { return s.seeds() == len(s.nodes) })
 	return s
 }
@@ -237,7 +239,7 @@
 	for end := time.Now().Add(2 * applyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, n := range s.nodes {
 			if status, _, body := n.request("r"); status != 200 || !strings.HasPrefix(body, "from two") {
-				t.Fatalf("%s: status %d %s", n.id, status, body)
+				t.Fatalf("%s: status %d %s, %v", n.id, status, body, n.log.Load().LastEntry().Data)
 			}
 		}
 	}
