--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -37,6 +37,8 @@
 	work    time.Duration
 	// onRun is called when a request begins to run; if it returns true, the server crashes.
 	onRun func(b *backend, r *http.Request) bool
+	// raw, if set, reads a request and answers it.
+	raw func(b *backend, rw http.ResponseWriter, r *http.Request)
 
 	mu       sync.Mutex
 	id       string
@@ -197,6 +199,10 @@
 	}
 	b.running.Add(1)
 	defer b.running.Add(-1)
+	if b.raw != nil {
+		b.raw(b, w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
