--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -18,6 +18,7 @@
 	"rolls":   rollsAndPoison,
 	"islands": killedWhileCut,
 	"early":   earlyAnswer,
+	"reset":   resetAnswer,
 }
 
 // deploy starts a small deployment: one machine of each given name with its
@@ -32,7 +33,7 @@
 			return nil, err
 		}
 		if r != nil {
-			if err := r.add(m, fmt.Sprintf("127.0.%d.1", 20+len(w.machines))); err != nil {
+			if err := r.add(m, w.ip[:len(w.ip)-1]+fmt.Sprint(10+len(w.machines))); err != nil {
 				return nil, err
 			}
 		}
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -67,7 +67,7 @@
 	}
 	m.peer = net.JoinHostPort(ip, port)
 	r.zones[ip] = m.zone
-	a, err := freeAddrs(2)
+	a, err := r.w.freeAddrs(2)
 	if err != nil {
 		return err
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -39,8 +39,10 @@
 
 // world is a small deployment on loopback addresses.
 type world struct {
-	dir      string
-	tmp      string
+	dir, tmp string
+	// ip is the loopback address of this run, used the addresses that were given out.
+	ip       string
+	used     map[string]bool
 	trouble  bool
 	start    time.Time
 	mu       sync.Mutex
@@ -60,11 +62,12 @@
 // system gives to outgoing connections.
 const firstPort, lastPort = 10000, 30000
 
-// freeAddrs returns free loopback addresses.
-func freeAddrs(n int) ([]string, error) {
+// freeAddrs returns free addresses at the loopback address of this run, which
+// keeps runs at the same time apart.
+func (w *world) freeAddrs(n int) ([]string, error) {
 	var list []string
 	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		addr := fmt.Sprintf("%s:%d", w.ip, firstPort+rand.IntN(lastPort-firstPort))
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -76,7 +79,8 @@
 			continue
 		}
 		_ = u.Close()
-		if !slices.Contains(list, addr) {
+		if !slices.Contains(list, addr) && !w.used[addr] {
+			w.used[addr] = true
 			list = append(list, addr)
 		}
 		if len(list) == n {
@@ -88,7 +92,7 @@
 
 // addMachine adds a machine, with its daemon not started yet.
 func (w *world) addMachine(id, zone, service string) (*machine, error) {
-	a, err := freeAddrs(8)
+	a, err := w.freeAddrs(8)
 	if err != nil {
 		return nil, err
 	}
@@ -312,7 +316,7 @@
 	} else {
 		defer os.RemoveAll(tmp)
 	}
-	w := &world{dir: os.Args[2], tmp: tmp, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), out: out}
+	w := &world{ip: fmt.Sprintf("127.%d.%d.1", 64+rand.IntN(128), rand.IntN(256)), used: map[string]bool{}, dir: os.Args[2], tmp: tmp, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), out: out}
 	defer w.close()
 	time.AfterFunc(115*time.Second, func() {
 		w.logf("the case did not end in time")
