--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -210,12 +210,20 @@
 			w.logf("server did not start: %v", err)
 		}
 	})
-	stop := w.load(servers["web-1"].m, 5, "GET", "/book/get/", "", nil)
+	var lost atomic.Int64
+	book.work = 100 * time.Millisecond
+	stop := w.load(servers["web-1"].m, 20, "POST", "/book/do/", "order", func(a answer) {
+		if a.status == http.StatusBadGateway || a.err != nil {
+			lost.Add(1)
+		}
+	})
 	for i := range 16 {
 		w.send(servers[names[i%2]].m, "GET", "/book/get/poison", "", 5*time.Second)
 		time.Sleep(4 * time.Second)
 	}
 	stop()
+	w.logf("%d requests of other clients ended without the server's answer", lost.Load())
+	fmt.Printf("%d requests of other clients ended without the server's answer\n", lost.Load())
 	return p.verdict(), nil
 }
 
