seed: daemons that do not know each other find each other after a cut

Cause: the seeds are listed only until the first exchange succeeds. Daemons that lost their memory in a cut know only their own side, so neither probes of dead members nor exchanges with live ones ever cross. Class: a partition of the membership in which each side believes itself complete; a first start in a cut and sides that start while the store is away make the same.

Now the daemons of a zone together list the seeds every 3 s (stale, a tenth of a call) and join those that are not live members. Weighed against a trigger by a service without instances: that misses parts that serve themselves.

Ruled out: leases of the other side that ended (renewed every 10 s), a failing exchange (none was tried).

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -28,8 +28,6 @@
 	// number of watchers in the cluster.
 	watchersPerZone = 2
 	minWatchers     = 3
-	// maxSeeds bounds the seeds contacted in one join attempt.
-	maxSeeds = 8
 	// maxJoinMembers bounds the known members contacted in one join attempt, in addition to the seeds.
 	maxJoinMembers = 5
 	// minRouteInterval is the minimum time between two rebuilds of the route table.
@@ -217,7 +215,9 @@
 		Bootstrap:    d.cfg.Bootstrap,
 		SeedsPerZone: seedsPerZone,
 		ZoneRank:     d.zoneRank,
+		ZoneSize:     d.zoneSize,
 		MemberCount:  d.node.Len,
+		IsLive:       d.isLive,
 		KnownAddrs:   d.knownAddrs,
 		ListSeeds:    d.listSeeds,
 		RenewSeed:    d.renewSeed,
@@ -243,8 +243,8 @@
 	return list
 }
 
-// listSeeds returns the addresses of up to maxSeeds seeds of other daemons, in
-// random order. stale permits a stale read.
+// listSeeds returns the addresses of the seeds of other daemons, in random order.
+// stale permits a stale read.
 func (d *Daemon) listSeeds(ctx context.Context, stale bool) ([]netip.AddrPort, error) {
 	if d.platform == nil {
 		return nil, nil
@@ -267,7 +267,7 @@
 		}
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), maxSeeds)], nil
+	return list, nil
 }
 
 // zoneRank returns the index of this daemon among the live daemons of its zone,
@@ -279,6 +279,22 @@
 	})
 }
 
+// zoneSize returns the number of live daemons of the zone, this one included.
+func (d *Daemon) zoneSize() int {
+	return 1 + d.node.Count(func(e *sycapb.MemberEntry) bool {
+		return e.State < sycapb.MemberState_MEMBER_STATE_DEAD && e.Zone == d.cfg.Zone && e.Region == d.cfg.Region
+	})
+}
+
+// isLive reports whether a live member, or this daemon, has the address.
+func (d *Daemon) isLive(addr netip.AddrPort) bool {
+	live := addr == d.cfg.Advertise
+	d.node.ForEach(func(e *sycapb.MemberEntry, at netip.AddrPort) {
+		live = live || at == addr && e.State < sycapb.MemberState_MEMBER_STATE_DEAD
+	})
+	return live
+}
+
 // renewSeed renews the lease of the seed record, or writes the record with a new
 // lease if the old one has expired. It returns the lease.
 func (d *Daemon) renewSeed(ctx context.Context, lease store.Lease) (store.Lease, error) {
--- a/seed/seed.go
+++ b/seed/seed.go
@@ -1,10 +1,14 @@
-// Package seed finds a first member for a daemon that starts, with few calls
-// to the platform.
+// Package seed finds the other daemons for one that starts, with few calls to
+// the platform.
 //
 // The platform stores the addresses of a few daemons of each availability zone,
 // the seeds, under leases. A Finder lists the seeds while it knows no other
 // daemon, and maintains the seed of its own daemon while that daemon is among
-// the first of its zone. The number of calls matters if a whole fleet starts or
+// the first of its zone. Daemons that started in a network partition do not know
+// that others exist, so the daemons of a zone together also list the seeds every
+// few seconds and join those that are not members.
+//
+// The number of calls matters if a whole fleet starts or
 // restarts at once: hundreds of daemons would each write a seed. Therefore a
 // daemon writes a seed only if it found none of another daemon, or once it knows
 // the members of its zone and is one of the first.
@@ -17,6 +21,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +54,11 @@
 	// relistDelay is the time after writing the first seed until a daemon lists the seeds again, to
 	// find other daemons that wrote a first seed at the same time.
 	relistDelay = 500 * time.Millisecond
+	// scanInterval is the mean time between two scans for seeds that are not members, by all daemons of
+	// a zone together.
+	scanInterval = 3 * time.Second
+	// maxContacts bounds the daemons contacted in one attempt to join.
+	maxContacts = 8
 	// pollInterval is the time between two checks whether the daemon has joined.
 	pollInterval = 50 * time.Millisecond
 )
@@ -61,12 +71,16 @@
 	SeedsPerZone int
 	// ZoneRank returns the index of this daemon in the order of the live daemons of its zone.
 	ZoneRank func() int
+	// ZoneSize returns the number of live daemons of the zone, this one included.
+	ZoneSize func() int
 	// MemberCount returns the number of other known daemons, including dead ones.
 	MemberCount func() int
+	// IsLive reports whether a live member has the address.
+	IsLive func(netip.AddrPort) bool
 	// KnownAddrs returns the addresses of daemons that are known without asking the platform.
 	KnownAddrs func() []netip.AddrPort
-	// ListSeeds lists the seeds of other daemons. A stale list may be seconds old and is cheaper for
-	// the platform.
+	// ListSeeds lists the seeds of other daemons in random order. A stale list may be seconds old and is
+	// cheaper for the platform.
 	ListSeeds func(ctx context.Context, stale bool) ([]netip.AddrPort, error)
 	// RenewSeed renews the lease of the own seed, or writes the seed under a new lease if there is none
 	// or it has expired. It returns the lease.
@@ -103,16 +117,20 @@
 // Join exchanges member entries with a first daemon, and again whenever no other
 // daemon is known. The daemon accepts no work until it has joined, since it
 // could not forward downstream calls. If it cannot join, it accepts work after
-// JoinTimeout.
+// JoinTimeout. Once it has joined, Join scans for daemons that are not members.
 func (f *Finder) Join(ctx context.Context) error {
 	start := f.Now()
 	if f.Bootstrap && !f.Sleep(ctx, f.Jitter(bootstrapJitter)) {
 		return nil
 	}
 	joined := false
+	delay := joinInterval
 	for round := 0; ; round++ {
-		if !joined || f.MemberCount() == 0 {
+		switch {
+		case !joined || f.MemberCount() == 0:
 			joined = f.tryJoin(ctx, round == 0 && !f.Bootstrap)
+		case f.scanDue(delay):
+			f.scan(ctx)
 		}
 		timedOut := f.Now().Sub(start) > JoinTimeout
 		if joined {
@@ -121,7 +139,6 @@
 		if joined || timedOut {
 			f.OnReady()
 		}
-		delay := joinInterval
 		if timedOut {
 			delay = lateJoinInterval
 		}
@@ -148,7 +165,33 @@
 		f.noSeeds.Store(f.noSeeds.Load() || !stale)
 		return false
 	}
-	return f.Config.Join(ctx, seeds)
+	return f.Config.Join(ctx, seeds[:min(len(seeds), maxContacts)])
+}
+
+// scanDue reports at random whether this daemon scans after the given time since
+// the last decision, such that the daemons of its zone together scan every
+// scanInterval.
+func (f *Finder) scanDue(elapsed time.Duration) bool {
+	return f.Jitter(scanInterval*time.Duration(f.ZoneSize())) < elapsed
+}
+
+// scan joins the known daemons and the seeds that are not live members. They
+// belong to another part of a system that started, or lost its memory, during a
+// network partition. Neither part notices that it lacks the other.
+func (f *Finder) scan(ctx context.Context) {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	seeds, err := f.ListSeeds(listCtx, true)
+	if err != nil {
+		f.Log.WithField("err", err).Info("listing the seeds failed")
+	}
+	missing := slices.DeleteFunc(append(f.KnownAddrs(), seeds...), f.IsLive)
+	if len(missing) == 0 {
+		return
+	}
+	before := f.MemberCount()
+	ok := f.Config.Join(ctx, missing[:min(len(missing), maxContacts)])
+	f.Log.WithFields(logrus.Fields{"missing": len(missing), "joined": ok, "members": before, "after": f.MemberCount()}).Info("joined daemons that were not members")
 }
 
 // MaintainSeed writes and renews the own seed while the daemon is among the
@@ -217,7 +260,7 @@
 		f.Log.WithField("err", err).Info("listing the seeds again failed")
 		return
 	}
-	if len(seeds) > 0 && !f.Config.Join(ctx, seeds) {
+	if len(seeds) > 0 && !f.Config.Join(ctx, seeds[:min(len(seeds), maxContacts)]) {
 		f.Log.WithField("seeds", len(seeds)).Info("no seed responded to the join")
 	}
 }
--- a/seed/seed_test.go
+++ b/seed/seed_test.go
@@ -82,7 +82,7 @@
 	log.SetOutput(io.Discard)
 	f := seed.New(seed.Config{
 		Bootstrap: bootstrap, SeedsPerZone: perZone,
-		ZoneRank: d.rank, MemberCount: d.members,
+		ZoneRank: d.rank, ZoneSize: d.zoneSize, MemberCount: d.members, IsLive: d.isLive,
 		KnownAddrs: func() []netip.AddrPort { return nil },
 		ListSeeds:  d.list, RenewSeed: d.renew, Join: d.join,
 		OnReady: func() {
@@ -134,6 +134,24 @@
 	return n
 }
 
+func (d *daemon) zoneSize() int {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
+	n := 0
+	for m := range d.group.members {
+		if m.zone == d.zone {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *daemon) isLive(addr netip.AddrPort) bool {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
+	return d.group.members[d.sim.daemons[addr]]
+}
+
 func (d *daemon) members() int {
 	d.sim.mu.Lock()
 	defer d.sim.mu.Unlock()
