httpc, front: half an answer without a length does not look complete

Cause: two goroutines use the connection while a body is sent, and the kernel gives the error of a reset to one of them only; the other sees an ordinary end. The reader took that end for the end of a body without a length, on the buffered and on the streamed path.

Now such a body is complete only once the request was sent without an error. The same class: a truncated answer to HTTP/1.0 ended with an ordinary close, and an exchange waited without limit for the goroutine that sends the body while the client stalled.

Ruled out: an error that is dropped between reads, since with one goroutine there is none.

--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -299,7 +299,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ConnContext: front.ConnContext}
 	c.g.Go(func() error {
 		_ = s.Serve(l)
 		return nil
--- a/front/entry.go
+++ b/front/entry.go
@@ -82,7 +82,9 @@
 	w.Header()["Date"] = nil
 	// Another instance omits the ID in its response.
 	resp.header.Set(f.Headers.RequestID, r.id)
-	resp.write(w)
+	if err := resp.write(w); err != nil {
+		f.breakOff(hr, r, err)
+	}
 }
 
 // notifyServed calls OnServed for a request of a caller. Downstream calls of backend servers
@@ -118,14 +120,14 @@
 	}
 	r.callerTimeout = parseTimeLeft(hr.Header.Get(f.Headers.TimeLeft), r.route.Timeout)
 	r.deadline = now.Add(min(r.callerTimeout, r.route.Timeout))
-	return r, f.prepare(r, hr)
+	return r, f.prepare(w, r, hr)
 }
 
 // prepare reads the body and sets the fields that are forwarded with the request.
-func (f *Front) prepare(r *request, hr *http.Request) *localReply {
+func (f *Front) prepare(w http.ResponseWriter, r *request, hr *http.Request) *localReply {
 	var err error
 	r.length = hr.ContentLength
-	r.body, r.stream, err = readBody(hr.Body, hr.ContentLength)
+	r.body, r.stream, err = readBody(w, hr)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/front/faulty_test.go
+++ b/front/faulty_test.go
@@ -121,6 +121,25 @@
 	}
 }
 
+// The truncated response to a request of HTTP/1.0, which is sent without chunks, looked complete.
+func TestTruncatedAnswerLooksCompleteToHTTP10(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	target.setHandler(func(w net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n%s\r\n",
+			r.Header.Get(testHeaders.RequestID), make([]byte, 0x80000))
+		return false
+	})
+	c, err := net.Dial("tcp", source.outbound.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if got := send(c, "GET /view/x HTTP/1.0\r\nHost: h.example\r\nT-Request: r1\r\nT-Left: 3000\r\n\r\n"); got.err == nil {
+		t.Errorf("status %d, %d bytes look complete", got.status, len(got.body))
+	}
+}
+
 // A server may respond before it has read a long request body. The response is forwarded, and the
 // next request gets its own.
 func TestResponseBeforeEndOfRequestBody(t *testing.T) {
--- a/front/hop.go
+++ b/front/hop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,10 +89,9 @@
 		Header:    r.header,
 		SetHeader: []httpc.HeaderField{{Name: hopHeader, Value: r.encodeHop(now)}},
 		Body:      r.body,
-		Stream:    r.stream,
-		Length:    r.length,
 		MaxBuffer: maxBufferedResponse,
 	}
+	r.setStream(req)
 	if notice != "" {
 		req.SetHeader = append(req.SetHeader, httpc.HeaderField{Name: noticeHeader, Value: notice})
 	}
@@ -103,21 +100,3 @@
 	}
 	return req
 }
-
-// readBody buffers a body of up to maxBufferedBody bytes. It returns a longer body as a stream.
-func readBody(body io.Reader, length int64) ([]byte, io.Reader, error) {
-	if length == 0 {
-		return nil, nil, nil
-	}
-	if length > maxBufferedBody {
-		return nil, body, nil
-	}
-	prefix, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
-	if err != nil {
-		return nil, nil, err
-	}
-	if len(prefix) > maxBufferedBody {
-		return nil, io.MultiReader(strings.NewReader(string(prefix)), body), nil
-	}
-	return prefix, nil, nil
-}
--- a/front/hopheader.go
+++ b/front/hopheader.go
@@ -165,10 +165,10 @@
 	return req, f.err
 }
 
-// writeHop writes the response to another Front. Its hopHeader has outcome, reason, admission
+// writeHop writes the response to another Front; its errors are those of write. Its hopHeader has outcome, reason, admission
 // levels, running requests, queued requests, concurrency limit, time in the queue and at the
 // backend server in microseconds, and after a crash the ID of the backend server.
-func (a *response) writeHop(w http.ResponseWriter) {
+func (a *response) writeHop(w http.ResponseWriter) error {
 	crashed := ""
 	if a.reason == reasonCrash {
 		crashed = a.instance
@@ -184,9 +184,9 @@
 		defer a.release()
 		h.Set("Content-Length", "0")
 		w.WriteHeader(http.StatusOK)
-		return
+		return nil
 	}
-	a.write(w)
+	return a.write(w)
 }
 
 // decodeHopResponse decodes a response of another Front. An invalid one counts as lost.
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -31,7 +31,7 @@
 // serveInbound handles a request of another Front.
 func (f *Front) serveInbound(w http.ResponseWriter, r *http.Request) {
 	if f.Closing() {
-		notRunResponse(reasonLeaving).writeHop(w)
+		writeNotRun(w, reasonLeaving)
 		return
 	}
 	defer f.trackInflight()()
@@ -39,13 +39,13 @@
 	req, err := decodeHopRequest(r, f.Headers, f.Now())
 	if err != nil {
 		f.Log.WithField("err", err).Warn("invalid request from another daemon")
-		notRunResponse(reasonLost).writeHop(w)
+		writeNotRun(w, reasonLost)
 		return
 	}
 	req.length = r.ContentLength
-	req.body, req.stream, err = readBody(r.Body, r.ContentLength)
+	req.body, req.stream, err = readBody(w, r)
 	if err != nil || f.peerLeft(r.Context()) {
-		notRunResponse(reasonCanceled).writeHop(w)
+		writeNotRun(w, reasonCanceled)
 		return
 	}
 	resp := f.runWithDeadline(r.Context(), req)
@@ -53,7 +53,15 @@
 		resp.header.Del(f.Headers.RequestID)
 	}
 	f.addNotice(w.Header())
-	resp.writeHop(w)
+	if err := resp.writeHop(w); err != nil {
+		f.breakOff(r, req, err)
+	}
+}
+
+// writeNotRun tells another Front that its request did not run.
+func writeNotRun(w http.ResponseWriter, reason string) {
+	// Without a body, there is nothing to break off.
+	_ = notRunResponse(reason).writeHop(w)
 }
 
 // runWithDeadline runs a request and cancels it serverResponseGrace after its deadline.
@@ -248,10 +256,9 @@
 			{Name: f.Headers.OriginService, Value: r.origin},
 		},
 		Body:      r.body,
-		Stream:    r.stream,
-		Length:    r.length,
 		MaxBuffer: maxBufferedResponse,
 	}
+	r.setStream(req)
 	req.IsMismatch = func(h http.Header, reused bool) bool {
 		id := h.Get(f.Headers.RequestID)
 		// A refusal that names no request may be of an earlier one.
--- a/front/left.go
+++ b/front/left.go
@@ -59,3 +59,15 @@
 	})
 	return left || err != nil
 }
+
+// resetOnClose makes the end of the connection of a request a reset.
+func resetOnClose(ctx context.Context) {
+	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
+	if !ok {
+		return
+	}
+	// This fails only on a closed connection.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
--- a/front/request.go
+++ b/front/request.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,7 +48,7 @@
 	senderRestoresID bool
 	// body is the complete body, unless stream is set.
 	body        []byte
-	stream      io.Reader
+	stream      *bodyStream
 	length      int64
 	fingerprint poison.Fingerprint
 
--- a/front/response.go
+++ b/front/response.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sycamorespread.dev/admit"
 )
 
@@ -89,9 +91,9 @@
 	}
 }
 
-// write sends the response to a caller. It aborts the connection if the body is truncated, so
-// that the caller does not take it for complete.
-func (a *response) write(w http.ResponseWriter) {
+// write sends the response to a caller. It returns an error if the body is truncated; the connection
+// must be aborted then.
+func (a *response) write(w http.ResponseWriter) error {
 	defer a.release()
 	h := w.Header()
 	for name, values := range a.header {
@@ -111,9 +113,19 @@
 	if a.stream == nil {
 		// A write fails only if the caller has closed its connection.
 		_, _ = w.Write(a.body)
-		return
+		return nil
 	}
-	if _, err := io.Copy(w, a.stream); err != nil {
-		panic(http.ErrAbortHandler)
+	_, err := io.Copy(w, a.stream)
+	return errors.Wrap(err, "send response body")
+}
+
+// breakOff aborts the connection of a request whose response is truncated, so that the caller does not
+// take it for complete.
+func (f *Front) breakOff(hr *http.Request, r *request, err error) {
+	f.Log.WithFields(f.logFields(r)).WithField("err", err).Info("response broken off")
+	if !hr.ProtoAtLeast(1, 1) {
+		// The body may be sent without chunks, so an ordinary close would look like its end.
+		resetOnClose(hr.Context())
 	}
+	panic(http.ErrAbortHandler)
 }
--- a/httpc/mismatch.go
+++ b/httpc/mismatch.go
@@ -72,7 +72,7 @@
 // discard reads and drops a body. It fails if the body is delimited by the close of the connection
 // or exceeds MaxBuffer.
 func (x *exchange) discard(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if isCloseDelimited(resp) {
 		return errors.New("mismatched response body is delimited by connection close")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, x.req.MaxBuffer+1))
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -13,7 +12,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 // Request is a request to send.
@@ -30,6 +28,9 @@
 	// Stream is sent with Length bytes, or with chunked encoding if Length is below 0.
 	Stream io.Reader
 	Length int64
+	// StopStream, if set, makes a blocked Read of Stream return. It is called if the exchange ends
+	// before Stream was read to its end.
+	StopStream func()
 	// MaxIdleTime, if above 0, is the maximum idle time of a reused connection.
 	MaxIdleTime time.Duration
 	// NewConn sends the request on a new connection.
@@ -96,8 +97,8 @@
 	c    *conn
 	req  *Request
 	stop func() bool
-	// bodySend runs the goroutine that sends a streamed body; nil if the body was sent with the header.
-	bodySend *errgroup.Group
+	// upload sends a streamed body; nil if the body was sent with the header.
+	upload *upload
 	// sentAll is set once the request was sent completely. It stays unset for a streamed body, whose
 	// connection is not reused.
 	sentAll bool
@@ -126,10 +127,10 @@
 	x.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(pastDeadline) })
 	resp, err := x.run()
 	if err != nil {
-		x.abort()
 		if ctx.Err() != nil && x.mismatches == 0 {
 			err = ctx.Err()
 		}
+		x.abort()
 		return nil, &NoResponseError{Addr: addr, Reused: c.reused, Err: err}
 	}
 	return resp, nil
@@ -152,6 +153,9 @@
 	if x.req.IsRejection != nil && x.req.IsRejection(resp.Header) {
 		x.c.addRejected(x.req.Key)
 	}
+	if isCloseDelimited(resp) {
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, x: x}
+	}
 	return x.readBody(resp)
 }
 
@@ -159,9 +163,8 @@
 func (x *exchange) abort() {
 	x.stop()
 	_ = x.c.nc.Close()
-	if x.bodySend != nil {
-		// The error only reports that the connection was closed.
-		_ = x.bodySend.Wait()
+	if x.upload != nil {
+		x.upload.abort(x.req.StopStream)
 	}
 }
 
@@ -179,35 +182,10 @@
 		x.sentAll = true
 		return nil
 	}
-	x.bodySend = new(errgroup.Group)
-	x.bodySend.Go(x.stream)
+	x.upload = startUpload(x.c.nc, x.req)
 	return nil
 }
 
-func (x *exchange) stream() error {
-	if x.req.Length >= 0 {
-		n, err := io.Copy(x.c.nc, io.LimitReader(x.req.Stream, x.req.Length))
-		if err == nil && n < x.req.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			// End the exchange, so that the server does not wait for the rest of the body.
-			_ = x.c.nc.SetDeadline(pastDeadline)
-		}
-		return err
-	}
-	w := httputil.NewChunkedWriter(x.c.nc)
-	if _, err := io.Copy(w, x.req.Stream); err != nil {
-		_ = x.c.nc.SetDeadline(pastDeadline)
-		return err
-	}
-	if err := w.Close(); err != nil {
-		return err
-	}
-	_, err := io.WriteString(x.c.nc, "\r\n")
-	return err
-}
-
 // encode writes the header, and the body if it is not streamed.
 func (r *Request) encode(b *bytes.Buffer) {
 	b.WriteString(r.Method)
@@ -327,7 +305,7 @@
 // response are complete, no response was mismatched, no further bytes arrived and neither side ends
 // the connection. Otherwise it closes the connection.
 func (x *exchange) release(resp *http.Response, complete bool) {
-	if !x.stop() || x.mismatches > 0 || !complete || !x.sentAll || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || x.c.br.Buffered() > 0 {
+	if !x.stop() || x.mismatches > 0 || !complete || !x.sentAll || resp.Close || isCloseDelimited(resp) || x.c.br.Buffered() > 0 {
 		x.abort()
 		return
 	}
