poison, front, life: crashes of a server that keeps its ID are told apart

Cause: a crash was named by the IDs of the daemon and of the server, so all crashes of a server that keeps its ID counted as one, and the second one that the quarantine needs never came. The entry and the ingress each built the name, so nothing could go into it that only one of them knows.

Now the tracker counts the starts of the server, the ingress alone names a crash by server, own start and start of the server, and the response carries the name. A crash with several suspects in flight no longer counts for any of them; they run one at a time (isolated) until one completes or a crash has one suspect, so that a popular request which is in flight at each crash is not quarantined with the guilty one.

Failed before: TestCrashesOfAServerThatKeepsItsIDCountAsOne (6 of 6 crashes), TestHarmlessRequestQuarantinedWithACrashingOne (8 of 8), TestSeveralSuspectsOfACrashAllQuarantined.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -223,7 +223,7 @@
 	if r.Crash == "" || !d.controlEnabled() {
 		return
 	}
-	d.quarantine.RecordCrash(r.Crash, []poison.Request{{Service: o.call.Service, Method: o.call.Method, Fingerprint: o.fingerprint()}})
+	d.quarantine.AddCrash(r.Crash, poison.Request{Service: o.call.Service, Method: o.call.Method, Fingerprint: o.fingerprint()})
 }
 
 func (d *Daemon) pick(o *outbound, exclude []string) (*route.Attempt, error) {
@@ -238,7 +238,7 @@
 		IgnoreLevel: !d.controlEnabled(),
 		Nested:      o.call.Depth > 0,
 	}
-	if d.controlEnabled() && d.quarantine.State(o.fingerprint()) == poison.Suspect {
+	if d.controlEnabled() && d.isSuspect(o.fingerprint()) {
 		req.Sticky = uint64(o.fingerprint())
 	}
 	return d.table.Pick(req)
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -114,7 +115,7 @@
 	}
 	d.quarantine.RecordCrash(id, d.runs.requests())
 	d.log.WithFields(logrus.Fields{"crash": id, "action": r.in.id, "err": err}).Warn("backend server crashed")
-	return id
+	return d.quarantine.RecordCrash(id, []poison.Request{r.suspect()})[0]
 }
 
 // quarantineChanged gossips a changed entry of the quarantine.
@@ -122,7 +123,10 @@
 	if d.node != nil {
 		d.node.AnnouncePoison(e)
 	}
-	if d.quarantine.State(poison.Fingerprint(e.Fingerprint)) == poison.Quarantined {
-		d.log.WithFields(logrus.Fields{"service": e.Service, "method": e.Method, "print": fmt.Sprintf("%x", e.Fingerprint)}).Warn("request quarantined")
+	state := d.quarantine.State(poison.Fingerprint(e.Fingerprint))
+	if state == poison.Quarantined || state == poison.Isolated {
+		d.log.WithFields(logrus.Fields{
+			"service": e.Service, "method": e.Method, "print": fmt.Sprintf("%x", e.Fingerprint), "crashes": strings.Join(e.Crashes, ","),
+		}).Warn("request " + state.String())
 	}
 }
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -205,7 +205,7 @@
 // isolateSuspect lets crash suspects run only one at a time, so that a further
 // crash does not implicate other suspects. It waits until no other one runs.
 func (d *Daemon) isolateSuspect(ctx context.Context, a *inbound) (release func(), refusal *sycapb.Reply) {
-	if !d.controlEnabled() || d.quarantine.State(a.fingerprint) != poison.Suspect {
+	if !d.controlEnabled() || !d.isSuspect(a.fingerprint) {
 		return func() {}, nil
 	}
 	select {
@@ -298,11 +298,16 @@
 
 // clearSuspect removes a request that ran without a crash from the suspects.
 func (d *Daemon) clearSuspect(p poison.Fingerprint) {
-	if d.quarantine.State(p) == poison.Suspect {
+	if d.isSuspect(p) {
 		d.quarantine.Lift(p)
 	}
 }
 
+func (d *Daemon) isSuspect(p poison.Fingerprint) bool {
+	state := d.quarantine.State(p)
+	return state == poison.Suspect || state == poison.Isolated
+}
+
 func invalidReply(c *sycapb.Call, err error) *sycapb.Reply {
 	r := action.EmptyReply(c, sycapb.Outcome_OUTCOME_NOTRUN, sycapb.Reason_REASON_INVALID, err.Error())
 	var invalid *action.InvalidError
--- a/daemon/runs.go
+++ b/daemon/runs.go
@@ -86,11 +86,15 @@
 	defer s.mu.Unlock()
 	list := make([]poison.Request, 0, len(s.byID))
 	for _, r := range s.byID {
-		list = append(list, poison.Request{Service: r.in.call.Service, Method: r.in.call.Method, Fingerprint: r.in.fingerprint})
+		list = append(list, r.suspect())
 	}
 	return list
 }
 
+func (r *run) suspect() poison.Request {
+	return poison.Request{Service: r.in.call.Service, Method: r.in.call.Method, Fingerprint: r.in.fingerprint}
+}
+
 // dependencySet records which downstream methods each method of the backend
 // server calls, so that their admission levels reach the callers of that method.
 type dependencySet struct {
--- /dev/null
+++ b/front/crash.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sycamorespread.dev/life"
+	"sycamorespread.dev/poison"
+)
+
+// serverCrashed reports whether the backend server crashed, after a response of its start s was lost.
+// Each request that was running then is a suspect in the crash.
+func (f *Front) serverCrashed(ctx context.Context, s life.Server) bool {
+	now := f.Server()
+	switch {
+	case now.Instance != s.Instance, now.State == life.Leaving:
+		return false
+	case now.Start != s.Start:
+		// It is back already.
+		return true
+	case now.State == life.Ready && !f.ServerPool.ConnRefused(ctx, f.ServerAddr):
+		return false
+	case f.Server().State == life.Leaving:
+		return false
+	}
+	f.OnServerDown(s.Instance)
+	return true
+}
+
+// recordCrash records a crash of start s of the backend server for all requests that were running
+// there, r included. It returns the recorded ID of the crash for r, without the ID of this instance.
+func (f *Front) recordCrash(r *request, s life.Server) string {
+	detail := fmt.Sprintf("%s@%d#%d", s.Instance, f.Incarnation, s.Start)
+	f.Quarantine.RecordCrash(crashID(f.Self, detail), f.runs.suspects(s.Start))
+	recorded := f.Quarantine.RecordCrash(crashID(f.Self, detail), []poison.Request{r.suspect()})[0]
+	return recorded[len(crashID(f.Self, "")):]
+}
+
+// crashID returns the ID of a crash among all daemons. The detail identifies it among those of the
+// instance.
+func crashID(instance, detail string) string {
+	return instance + "/" + detail
+}
+
+// markSuspect records a request as a suspect in a crash that another instance recorded.
+func (f *Front) markSuspect(r *request, instance, detail string) {
+	f.Quarantine.AddCrash(crashID(instance, detail), r.suspect())
+}
+
+func (r *request) suspect() poison.Request {
+	return poison.Request{Service: r.service, Method: r.route.Name, Fingerprint: r.fingerprint, Known: r.poisonState}
+}
+
+// isIsolated reports whether the request is isolated, to the knowledge of this instance or of the
+// sender.
+func (f *Front) isIsolated(r *request) bool {
+	return max(r.poisonState, f.Quarantine.State(r.fingerprint)) == poison.Isolated
+}
+
+// clearSuspect clears a suspect request that ran successfully.
+func (f *Front) clearSuspect(fp poison.Fingerprint) {
+	if state := f.Quarantine.State(fp); state == poison.Suspect || state == poison.Isolated {
+		f.Quarantine.Lift(fp)
+	}
+}
+
+// isolate waits until no other isolated request runs at the backend server, if the request is
+// isolated. It returns false if that takes longer than timeout, or than ctx if timeout is 0.
+func (f *Front) isolate(ctx context.Context, r *request, timeout time.Duration) (release func(), ok bool) {
+	if !f.isIsolated(r) {
+		return func() {}, true
+	}
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	select {
+	case f.isolated <- struct{}{}:
+	case <-ctx.Done():
+		return nil, false
+	}
+	return func() { <-f.isolated }, true
+}
--- /dev/null
+++ b/front/crash_test.go
@@ -0,0 +1,124 @@
+package front_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sycamorespread.dev/life"
+)
+
+// popularRunTime is the time that the harmless request of these tests runs.
+const popularRunTime = 150 * time.Millisecond
+
+// crashes is a backend server that a request to /view/bad crashes. It comes back under its ID.
+type crashes struct {
+	*instance
+	t      *testing.T
+	starts int64
+	// bad counts the runs of the request that crashes the server.
+	bad atomic.Int64
+}
+
+func newCrashes(t *testing.T, i *instance) *crashes {
+	c := &crashes{instance: i, t: t}
+	i.setHandler(func(w net.Conn, req *http.Request, body string) bool {
+		switch req.URL.Path {
+		case "/view/bad":
+			c.bad.Add(1)
+			c.crash()
+			return false
+		case "/view/popular":
+			time.Sleep(popularRunTime)
+		}
+		return respondOK(w, req, body)
+	})
+	return c
+}
+
+// crash closes the listener and all connections of the server.
+func (s *fakeServer) crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// revive starts the server again at its address, under its ID, if it has crashed.
+func (c *crashes) revive() {
+	c.t.Helper()
+	if c.keeper.Server().State == life.Ready {
+		return
+	}
+	l, err := net.Listen("tcp", c.addr().String())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.listener = l
+	c.g.Go(c.serve)
+	c.starts++
+	report := newServerReport(c.instance, "s-"+c.id, 1)
+	report.StartedAt = report.StartedAt.Add(time.Duration(c.starts) * time.Second)
+	c.keeper.HandleReport(report)
+	c.syncLoad()
+}
+
+// syncLoad waits until the gate has seen the new server.
+func (c *crashes) syncLoad() {
+	time.Sleep(20 * time.Millisecond)
+}
+
+// All crashes of a server that keeps its ID counted as one, so a request that crashes it was never
+// quarantined.
+func TestCrashesOfAServerThatKeepsItsIDCountAsOne(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source := cl.add("dues")
+	server := newCrashes(t, cl.add("plots"))
+	var last result
+	for n := range 6 {
+		last = source.request("GET", "/view/bad", fmt.Sprint("r", n), "")
+		server.revive()
+	}
+	if n := server.bad.Load(); n > 3 {
+		t.Errorf("the request crashed the server %d times", n)
+	}
+	if last.status != http.StatusServiceUnavailable {
+		t.Errorf("last response %+v", last)
+	}
+	if got := source.request("GET", "/view/good", "g", ""); got.status != http.StatusOK {
+		t.Errorf("response to another request %+v", got)
+	}
+}
+
+// A harmless request that is in flight at each crash was quarantined with the one that crashes the
+// server.
+func TestHarmlessRequestQuarantinedWithACrashingOne(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source, other := cl.add("dues"), cl.add("other")
+	server := newCrashes(t, cl.add("plots"))
+	var popular, bad result
+	for n := range 8 {
+		var g errgroup.Group
+		g.Go(func() error {
+			popular = source.request("GET", "/view/popular", fmt.Sprint("p", n), "")
+			return nil
+		})
+		time.Sleep(popularRunTime / 3)
+		bad = other.request("GET", "/view/bad", fmt.Sprint("b", n), "")
+		_ = g.Wait()
+		server.revive()
+	}
+	if popular.status != http.StatusOK {
+		t.Errorf("response to the harmless request %+v", popular)
+	}
+	if n := server.bad.Load(); n > 3 || bad.status != http.StatusServiceUnavailable {
+		t.Errorf("the request crashed the server %d times, last response %+v", n, bad)
+	}
+}
--- a/front/entry.go
+++ b/front/entry.go
@@ -161,7 +161,8 @@
 	possibleRuns := 0
 	last := notRunResponse(reasonNoInstance)
 	for range maxTries {
-		if f.Quarantine.State(r.fingerprint) == poison.Quarantined {
+		r.poisonState = f.Quarantine.State(r.fingerprint)
+		if r.poisonState == poison.Quarantined {
 			return nil, localReply{status: http.StatusServiceUnavailable, reason: reasonQuarantined}
 		}
 		attempt, err := f.pick(r, exclude)
@@ -178,9 +179,9 @@
 			return last, localReply{}
 		}
 		last.release()
-		if last.reason == reasonCrash {
+		if last.reason == reasonCrash && last.crash != "" {
 			// The report of the crash may arrive after the retry.
-			f.markSuspect(r, attempt.Target.ID, last.instance)
+			f.markSuspect(r, attempt.Target.ID, last.crash)
 		}
 		if last.outcome == unknown {
 			possibleRuns++
--- a/front/front.go
+++ b/front/front.go
@@ -67,8 +67,9 @@
 
 // Config configures a Front.
 type Config struct {
-	// Self is the ID of this instance.
-	Self string
+	// Self is the ID of this instance, Incarnation the start time of this process.
+	Self        string
+	Incarnation uint64
 	// Service is the service of this instance in the settings, used until the backend server reports one.
 	Service string
 	// ServerAddr is the address of the backend server.
@@ -124,6 +125,8 @@
 	notice       ownNotice
 	peerNotices  *peerNotices
 	refusals     *refusals
+	// isolated is held by the isolated request that runs at the backend server.
+	isolated chan struct{}
 	// acceptFailedAt is when a connection could not be accepted last, nil if none.
 	acceptFailedAt atomic.Pointer[time.Time]
 	// probes holds the probes of peers in flight.
@@ -132,7 +135,7 @@
 
 // New returns a Front.
 func New(cfg Config) *Front {
-	return &Front{Config: cfg, splitter: newSplitter(), dependencies: route.NewDependencies(), runs: newRuns(), monitor: newPeerMonitor(), routeLatency: newRouteLatency(), peerNotices: newPeerNotices(), refusals: newRefusals()}
+	return &Front{Config: cfg, splitter: newSplitter(), dependencies: route.NewDependencies(), runs: newRuns(), monitor: newPeerMonitor(), routeLatency: newRouteLatency(), peerNotices: newPeerNotices(), refusals: newRefusals(), isolated: make(chan struct{}, 1)}
 }
 
 // Inflight returns the number of requests in flight.
--- a/front/hopheader.go
+++ b/front/hopheader.go
@@ -35,6 +35,10 @@
 	// flagRestoresID is set if the sender adds the request ID to the response itself. Traffic between
 	// zones is expensive, and the ID of a nested call is long.
 	flagRestoresID
+	// flagSuspect and flagIsolated are the states of the request in the quarantine of the sender, which
+	// may be known to it before it is to the receiver.
+	flagSuspect
+	flagIsolated
 )
 
 // HopError reports an invalid header from another Front.
@@ -124,7 +128,8 @@
 // encodeHop returns the hopHeader of a request: service, route, origin, admission key,
 // fingerprint, time until the deadline and queue timeout in microseconds, flags.
 func (r *request) encodeHop(now time.Time) string {
-	flags := flagIf(r.route.Idempotent, flagIdempotent) | flagIf(r.retry, flagRetry) | flagIf(r.nested, flagNested) | flagRestoresID
+	flags := flagIf(r.route.Idempotent, flagIdempotent) | flagIf(r.retry, flagRetry) | flagIf(r.nested, flagNested) | flagRestoresID |
+		flagIf(r.poisonState == poison.Suspect, flagSuspect) | flagIf(r.poisonState == poison.Isolated, flagIsolated)
 	var w hopWriter
 	w.text(r.service).text(r.route.Name).text(r.origin)
 	w.number(int64(r.key)).number(int64(r.fingerprint))
@@ -161,22 +166,24 @@
 	req.route.Idempotent = flags&flagIdempotent != 0
 	req.retry = flags&flagRetry != 0
 	req.nested = flags&flagNested != 0
+	switch {
+	case flags&flagIsolated != 0:
+		req.poisonState = poison.Isolated
+	case flags&flagSuspect != 0:
+		req.poisonState = poison.Suspect
+	}
 	req.senderRestoresID = flags&flagRestoresID != 0
 	return req, f.err
 }
 
 // writeHop writes the response to another Front; its errors are those of write. Its hopHeader has outcome, reason, admission
 // levels, running requests, queued requests, concurrency limit, time in the queue and at the
-// backend server in microseconds, and after a crash the ID of the backend server.
+// backend server in microseconds, and the ID of a crash.
 func (a *response) writeHop(w http.ResponseWriter) error {
-	crashed := ""
-	if a.reason == reasonCrash {
-		crashed = a.instance
-	}
 	var f hopWriter
 	f.text(a.outcome.String()).text(a.reason).escaped(a.levels.text)
 	f.number(int64(a.load.running)).number(int64(a.load.queued)).number(int64(a.load.limit))
-	f.number(a.queueTime.Microseconds()).number(a.runTime.Microseconds()).text(crashed)
+	f.number(a.queueTime.Microseconds()).number(a.runTime.Microseconds()).text(a.crash)
 	h := w.Header()
 	h["Date"] = nil
 	h[hopHeader] = []string{string(f.b)}
@@ -198,7 +205,7 @@
 	a.levels.byRoute = decodeLevels(f.text())
 	a.load = load{running: int(f.number()), queued: int(f.number()), limit: int(f.number())}
 	a.queueTime, a.runTime = f.micros(), f.micros()
-	a.instance = f.text()
+	a.crash = f.text()
 	a.header = stripHopByHop(h)
 	switch {
 	case f.err != nil:
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -126,6 +126,11 @@
 		// The sending Front has not received the current level yet.
 		return notRunResponse(reasonShed)
 	}
+	release, ok := f.isolate(ctx, r, r.queueTimeout(arrived))
+	if !ok {
+		return notRunResponse(reasonShed)
+	}
+	defer release()
 	permit, err := f.Gate.Acquire(ctx, admit.Call{Key: r.key, Nested: r.nested, Method: r.route.Name, Deadline: r.deadline, QueueTimeout: r.queueTimeout(arrived)})
 	if err != nil {
 		return admitErrResponse(err)
@@ -164,7 +169,7 @@
 // callServer sends a request to the backend server and validates the response.
 func (f *Front) callServer(ctx context.Context, r *request) (*response, admit.RunResult) {
 	s := f.Server()
-	f.runs.add(r)
+	f.runs.add(r, s.Start)
 	defer f.runs.remove(r)
 	sentAt := f.Now()
 	resp, err := f.ServerPool.Do(ctx, f.ServerAddr, f.serverRequest(r, s))
@@ -210,14 +215,13 @@
 	}
 	h.Del(f.Headers.Load)
 	return &response{
-		outcome:  answered,
-		status:   resp.Status,
-		header:   stripHopByHop(h),
-		body:     resp.Body,
-		stream:   resp.Stream,
-		length:   resp.Length,
-		close:    resp.Close,
-		instance: s.Instance,
+		outcome: answered,
+		status:  resp.Status,
+		header:  stripHopByHop(h),
+		body:    resp.Body,
+		stream:  resp.Stream,
+		length:  resp.Length,
+		close:   resp.Close,
 	}, admit.Completed
 }
 
@@ -300,37 +304,7 @@
 	}
 	f.Log.WithFields(f.logFields(r)).WithField("err", err).Warn("answer of the backend server lost")
 	if f.serverCrashed(ctx, s) {
-		f.markSuspect(r, f.Self, s.Instance)
-		return &response{outcome: unknown, reason: reasonCrash, instance: s.Instance}, admit.NoResponse
+		return &response{outcome: unknown, reason: reasonCrash, crash: f.recordCrash(r, s)}, admit.NoResponse
 	}
 	return unknownResponse(reasonLost), admit.NoResponse
 }
-
-// markSuspect records a request as a suspect in the crash of the backend server at the instance with
-// the ID.
-func (f *Front) markSuspect(r *request, id, instance string) {
-	f.Quarantine.RecordCrash(id+"/"+instance, []poison.Request{{Service: r.service, Method: r.route.Name, Fingerprint: r.fingerprint}})
-}
-
-// serverCrashed reports whether the backend server crashed, after a response was lost. Each request
-// that was running then is a suspect in the crash.
-func (f *Front) serverCrashed(ctx context.Context, s life.Server) bool {
-	if f.Server().Instance != s.Instance {
-		return false
-	}
-	if f.Server().State == life.Ready && !f.ServerPool.ConnRefused(ctx, f.ServerAddr) {
-		return false
-	}
-	if f.Server().State == life.Leaving {
-		return false
-	}
-	f.OnServerDown(s.Instance)
-	return true
-}
-
-// clearSuspect clears a suspect request that ran successfully.
-func (f *Front) clearSuspect(fp poison.Fingerprint) {
-	if f.Quarantine.State(fp) == poison.Suspect {
-		f.Quarantine.Lift(fp)
-	}
-}
--- a/front/request.go
+++ b/front/request.go
@@ -51,6 +51,10 @@
 	stream      *bodyStream
 	length      int64
 	fingerprint poison.Fingerprint
+	// poisonState is the state of the request in the quarantine of the sending Front.
+	poisonState poison.State
+	// serverStart is the life.Server.Start to which the request was sent; runs guards it.
+	serverStart uint64
 
 	arrived  time.Time
 	deadline time.Time
--- a/front/response.go
+++ b/front/response.go
@@ -65,8 +65,8 @@
 	load   load
 	// queueTime is the time spent in the queue of the instance, runTime that at the backend server.
 	queueTime, runTime time.Duration
-	// instance is the ID of the backend server that ran the request.
-	instance string
+	// crash identifies a crash of the backend server among those that the instance recorded.
+	crash string
 	// deadlineErr is why the gate of this instance rejected the request as too late, nil if it did not.
 	deadlineErr *admit.DeadlineError
 }
--- a/front/runs.go
+++ b/front/runs.go
@@ -1,6 +1,10 @@
 package front
 
-import "sync"
+import (
+	"sync"
+
+	"sycamorespread.dev/poison"
+)
 
 // runs holds the requests that are running at the backend server, by ID.
 type runs struct {
@@ -12,9 +16,11 @@
 	return &runs{m: map[string]*request{}}
 }
 
-func (s *runs) add(r *request) {
+// add adds a request that is sent to the given start of the backend server.
+func (s *runs) add(r *request, start uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.serverStart = start
 	s.m[r.id] = r
 }
 
@@ -32,3 +38,16 @@
 	defer s.mu.Unlock()
 	return s.m[id]
 }
+
+// suspects returns the requests that are running at the given start of the backend server.
+func (s *runs) suspects(start uint64) []poison.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []poison.Request
+	for _, r := range s.m {
+		if r.serverStart == start {
+			list = append(list, r.suspect())
+		}
+	}
+	return list
+}
--- a/life/life.go
+++ b/life/life.go
@@ -68,6 +68,9 @@
 	ColdUntil time.Time
 	// Since is the time of the last change of the state.
 	Since time.Time
+	// Start counts the starts of servers that the Tracker has seen. A server that comes back under its ID
+	// has another one.
+	Start uint64
 }
 
 // Tracker tracks the state of one backend server. It is safe for concurrent use.
@@ -105,6 +108,9 @@
 		}
 		restarted := r.StartedAt.After(s.StartedAt) && !t.isLateReport(s, r)
 		oldState := s.State
+		if restarted && t.isNewStart(s, r) {
+			s.Start++
+		}
 		s.Report = r
 		s.ColdUntil = t.now().Add(r.ColdRemaining)
 		switch {
@@ -118,6 +124,13 @@
 	return true
 }
 
+// isNewStart reports whether r, which has a later start time than the known one, is of another start.
+// A probe does not tell the start time, so the first report after one mostly tells that of the same
+// start.
+func (t *Tracker) isNewStart(s *Server, r Report) bool {
+	return !s.StartedAt.IsZero() || s.Instance != r.Instance || r.StartedAt.After(s.Since)
+}
+
 // isLateReport reports whether r was sent before the shutdown of a leaving server whose start time
 // is unknown. A later start has a later wall-clock time than the shutdown, unless the clock was set
 // back; after lateReportTimeout the leaving server is gone, and any report is of a later start.
@@ -137,6 +150,7 @@
 		}
 		s.Report = Report{Instance: id, Addr: t.addr, Service: service, Slots: slots}
 		s.State = Ready
+		s.Start++
 		return true
 	})
 }
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -170,3 +170,36 @@
 		}
 	})
 }
+
+// A server that came back under its ID was taken for the same start, so that its crashes counted as one.
+func TestRestartUnderTheSameIDNotCounted(t *testing.T) {
+	tracker := newTracker()
+	want := func(start uint64, event string) {
+		t.Helper()
+		if got := tracker.Server().Start; got != start {
+			t.Fatalf("%s: start %d, want %d", event, got, start)
+		}
+	}
+	tracker.HandleProbe("a", "s", 4)
+	want(1, "a probe")
+	tracker.HandleReport(newReport("a", 10, 1, false))
+	want(1, "the first report after a probe")
+	tracker.MarkDown("a")
+	tracker.HandleReport(newReport("a", 10, 2, false))
+	want(1, "a report of the same start")
+	tracker.HandleReport(newReport("a", 20, 1, false))
+	want(2, "a report of a later start")
+	tracker.HandleReport(newReport("a", 10, 3, false))
+	want(2, "a late report of the earlier start")
+}
+
+// A server known by a probe only crashed and came back under its ID.
+func TestRestartAfterAProbeNotCounted(t *testing.T) {
+	tracker := newTracker()
+	tracker.HandleProbe("a", "s", 4)
+	tracker.MarkDown("a")
+	tracker.HandleReport(newReport("a", time.Now().Add(time.Second).UnixMilli(), 1, false))
+	if got := tracker.Server().Start; got != 2 {
+		t.Errorf("start %d, want 2", got)
+	}
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -2,10 +2,11 @@
 //
 // A daemon outlives its backend server and knows which requests were in flight
 // when the server crashed. Each of them becomes a suspect under its fingerprint,
-// the hash of method and body. Two crashes quarantine a request. Daemons gossip
-// suspects and quarantined requests. A suspect runs at one backend server of its
-// service, one at a time, so that harmless requests are cleared without risk to
-// many servers. Operators can list the entries and lift them.
+// the hash of method and body. Two crashes quarantine a request, unless other
+// suspects were in flight at the second one, too: any of them may be the cause.
+// They become isolated, which means that each backend server runs one of them at
+// a time. So either the request completes and is cleared, or a further crash has
+// one cause. Daemons gossip all entries. Operators can list and lift them.
 //
 //	registry.RecordCrash("plots-1@7", []poison.Request{{Service: "plots", Method: "get", Fingerprint: fp}})
 //	if registry.State(fp) == poison.Quarantined {
@@ -16,6 +17,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,8 +28,11 @@
 )
 
 const (
-	// crashesToQuarantine is the number of crashes after which a request is quarantined.
+	// crashesToQuarantine is the number of crashes after which a request is quarantined. Crashes at which
+	// there were other suspects do not count.
 	crashesToQuarantine = 2
+	// sharedMark ends the recorded ID of a crash at which there were other suspects.
+	sharedMark = "~"
 	// maxEntries bounds the number of entries in a Registry.
 	maxEntries = 1024
 	// maxEntryBytes is the maximum size of an entry, so that each one fits into a packet.
@@ -63,19 +68,23 @@
 	Clear State = iota
 	// Suspect is a request that was in flight at one crash.
 	Suspect
+	// Isolated is a request that was in flight at a crash with other suspects.
+	Isolated
 	// Quarantined is a request that was in flight at two crashes and is refused.
 	Quarantined
 )
 
 // String returns the name of the state.
 func (s State) String() string {
-	return [...]string{"clear", "suspect", "quarantined"}[s]
+	return [...]string{"clear", "suspect", "isolated", "quarantined"}[s]
 }
 
 // Request is one request that was in flight at a crash.
 type Request struct {
 	Service, Method string
 	Fingerprint     Fingerprint
+	// Known is the state at the daemon that sent the request. This daemon may not have received it yet.
+	Known State
 }
 
 // Registry holds the suspect and the quarantined requests. It is safe for concurrent use.
@@ -92,28 +101,78 @@
 }
 
 // RecordCrash records a crash with the requests that were in flight. The id identifies the crash
-// among all daemons.
-func (r *Registry) RecordCrash(id string, inflight []Request) {
-	now := r.now()
-	for _, req := range inflight {
-		r.mergeValid(&sycapb.PoisonEntry{
-			Fingerprint: uint64(req.Fingerprint),
-			Service:     req.Service,
-			Method:      req.Method,
-			Crashes:     []string{id},
-			Lifts:       r.liftCount(req.Fingerprint),
-			SeenUnixMs:  now.UnixMilli(),
-		})
+// among all daemons. It returns the ID under which the crash was recorded for each request, to be used
+// in AddCrash.
+func (r *Registry) RecordCrash(id string, inflight []Request) []string {
+	shared := r.severalSuspects(id, inflight)
+	recorded := make([]string, len(inflight))
+	for i, req := range inflight {
+		recorded[i] = r.recordFor(id, req, shared)
 	}
+	return recorded
 }
 
-func (r *Registry) liftCount(fp Fingerprint) uint32 {
+// severalSuspects reports whether any of several suspects may have caused a crash: more than one of
+// the requests in flight has the highest state, or the crash is known already.
+func (r *Registry) severalSuspects(id string, inflight []Request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e, ok := r.entries[fp]; ok {
-		return e.Lifts
+	for _, e := range r.entries {
+		if crashOf(e, id) != "" {
+			return true
+		}
+	}
+	highest, suspects := Suspect, map[Fingerprint]bool{}
+	for _, req := range inflight {
+		switch state := max(req.Known, stateOf(r.entries[req.Fingerprint])); {
+		case state > highest:
+			highest, suspects = state, map[Fingerprint]bool{req.Fingerprint: true}
+		case state == highest:
+			suspects[req.Fingerprint] = true
+		}
+	}
+	return len(suspects) > 1
+}
+
+// recordFor records a crash for one request and returns the recorded ID.
+func (r *Registry) recordFor(id string, req Request, shared bool) string {
+	r.mu.Lock()
+	e := r.entries[req.Fingerprint]
+	known, suspect := crashOf(e, id), max(req.Known, stateOf(e)) != Clear
+	r.mu.Unlock()
+	if known != "" {
+		return known
+	}
+	if shared && suspect {
+		id += sharedMark
+	}
+	r.AddCrash(id, req)
+	return id
+}
+
+// AddCrash adds a crash to the entry of a request, under the ID for which another daemon recorded it.
+func (r *Registry) AddCrash(id string, req Request) {
+	r.mu.Lock()
+	lifts := r.entries[req.Fingerprint].GetLifts()
+	r.mu.Unlock()
+	r.mergeValid(&sycapb.PoisonEntry{
+		Fingerprint: uint64(req.Fingerprint),
+		Service:     req.Service,
+		Method:      req.Method,
+		Crashes:     []string{id},
+		Lifts:       lifts,
+		SeenUnixMs:  r.now().UnixMilli(),
+	})
+}
+
+// crashOf returns the ID under which an entry, which may be nil, has a crash; empty if it has not.
+func crashOf(e *sycapb.PoisonEntry, id string) string {
+	for _, crash := range e.GetCrashes() {
+		if strings.TrimSuffix(crash, sharedMark) == id {
+			return crash
+		}
 	}
-	return 0
+	return ""
 }
 
 // EntryError reports an entry that no daemon can have written.
@@ -167,7 +226,7 @@
 	}
 	added := false
 	for _, id := range in.Crashes {
-		if len(e.Crashes) < crashesToQuarantine && !slices.Contains(e.Crashes, id) {
+		if !slices.Contains(e.Crashes, id) && needsCrash(e, id) {
 			e.Crashes = append(e.Crashes, id)
 			added = true
 		}
@@ -190,25 +249,46 @@
 	}
 }
 
+// stateOf returns the state of a request with an entry, which may be nil.
 func stateOf(e *sycapb.PoisonEntry) State {
+	own, shared := countCrashes(e)
 	switch {
-	case len(e.Crashes) >= crashesToQuarantine:
+	case own >= crashesToQuarantine:
 		return Quarantined
-	case len(e.Crashes) > 0:
+	case shared > 0:
+		return Isolated
+	case own > 0:
 		return Suspect
 	}
 	return Clear
 }
 
+// countCrashes counts the crashes at which the request was the only suspect, and the others.
+func countCrashes(e *sycapb.PoisonEntry) (own, shared int) {
+	for _, id := range e.GetCrashes() {
+		if strings.HasSuffix(id, sharedMark) {
+			shared++
+		} else {
+			own++
+		}
+	}
+	return own, shared
+}
+
+// needsCrash reports whether a further crash can change the state of a request.
+func needsCrash(e *sycapb.PoisonEntry, id string) bool {
+	own, shared := countCrashes(e)
+	if strings.HasSuffix(id, sharedMark) {
+		return shared == 0
+	}
+	return own < crashesToQuarantine
+}
+
 // State returns the state of a request.
 func (r *Registry) State(fp Fingerprint) State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, ok := r.entries[fp]
-	if !ok {
-		return Clear
-	}
-	return stateOf(e)
+	return stateOf(r.entries[fp])
 }
 
 // Lift clears an entry at all daemons and reports whether there was one.
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -40,6 +40,37 @@
 	want(poison.Clear)
 }
 
+// A harmless request that was in flight at both crashes was quarantined with the one that caused them.
+func TestSeveralSuspectsOfACrashAllQuarantined(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registry := newRegistry(&now)
+	harmless, bad := poison.Request{Fingerprint: 1}, poison.Request{Fingerprint: 2}
+	for _, crash := range []string{"a", "b", "c"} {
+		registry.RecordCrash(crash, []poison.Request{harmless, bad, harmless})
+		if one, two := registry.State(1), registry.State(2); one == poison.Quarantined || two == poison.Quarantined {
+			t.Fatalf("after crash %s the requests are %s and %s", crash, one, two)
+		}
+	}
+	if s := registry.State(1); s != poison.Isolated {
+		t.Errorf("a suspect of three crashes is %s", s)
+	}
+	registry.RecordCrash("d", []poison.Request{bad, {Fingerprint: 3}})
+	if one, two := registry.State(1), registry.State(2); one != poison.Isolated || two != poison.Quarantined {
+		t.Errorf("after a crash with one isolated request in flight the requests are %s and %s", one, two)
+	}
+}
+
+// A request that is retried before the news of the first crash has arrived counts as a suspect.
+func TestRetryBeforeTheNewsOfACrash(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registry := newRegistry(&now)
+	registry.RecordCrash("b", []poison.Request{{Fingerprint: 1, Known: poison.Suspect}, {Fingerprint: 2, Known: poison.Suspect}})
+	registry.AddCrash("a", poison.Request{Fingerprint: 1})
+	if s := registry.State(1); s != poison.Isolated {
+		t.Errorf("state %s", s)
+	}
+}
+
 func TestSuspectExpires(t *testing.T) {
 	now := time.Unix(1000, 0)
 	registry := newRegistry(&now)
@@ -58,7 +89,7 @@
 		entries := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *sycapb.PoisonEntry {
 			return &sycapb.PoisonEntry{
 				Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "print"),
-				Crashes:     rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 2, rapid.ID[string]).Draw(t, "crashes"),
+				Crashes:     rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "a~", "d~"}), 0, 3, rapid.ID[string]).Draw(t, "crashes"),
 				Lifts:       rapid.Uint32Range(0, 2).Draw(t, "lifts"),
 				SeenUnixMs:  now.UnixMilli(),
 			}
