--- a/poison/poison.go
+++ b/poison/poison.go
@@ -89,6 +89,9 @@
 
 // Registry holds the suspect and the quarantined requests. It is safe for concurrent use.
 type Registry struct {
+	// crashMu makes RecordCrash atomic, since each request whose response was lost records the crash.
+	crashMu sync.Mutex
+
 	mu       sync.Mutex
 	now      func() time.Time
 	entries  map[Fingerprint]*sycapb.PoisonEntry
@@ -104,6 +107,8 @@
 // among all daemons. It returns the ID under which the crash was recorded for each request, to be used
 // in AddCrash.
 func (r *Registry) RecordCrash(id string, inflight []Request) []string {
+	r.crashMu.Lock()
+	defer r.crashMu.Unlock()
 	shared := r.severalSuspects(id, inflight)
 	recorded := make([]string, len(inflight))
 	for i, req := range inflight {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -1,9 +1,11 @@
 package poison_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -60,6 +62,35 @@
 	}
 }
 
+// Each request whose response was lost records the crash for all; a request that was recorded by two of
+// them at once counted as one of several suspects.
+func TestCrashRecordedTwiceAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	inflight := []poison.Request{{Fingerprint: 1}, {Fingerprint: 2}}
+	var registry *poison.Registry
+	var g errgroup.Group
+	var once sync.Once
+	registry = poison.New(func() time.Time { return now }, func(e *sycapb.PoisonEntry) {
+		if e.Fingerprint == 2 {
+			return
+		}
+		once.Do(func() {
+			g.Go(func() error {
+				registry.RecordCrash("b", inflight)
+				return nil
+			})
+			// The other goroutine may record the crash before this one goes on.
+			time.Sleep(20 * time.Millisecond)
+		})
+	})
+	registry.AddCrash("a", inflight[1])
+	registry.RecordCrash("b", inflight)
+	_ = g.Wait()
+	if s := registry.State(2); s != poison.Quarantined {
+		t.Errorf("the only suspect is %s", s)
+	}
+}
+
 // A request that is retried before the news of the first crash has arrived counts as a suspect.
 func TestRetryBeforeTheNewsOfACrash(t *testing.T) {
 	now := time.Unix(1000, 0)
