daemon, life, platform: a heartbeat of an unknown service changes nothing

Cause: a report was judged by its form alone. The tracker takes any later start at its address, and orders all later reports of the sound server before it.

A report counts now only if its service is that of the settings, that of the tracked server, or one that a policy has named in this process. Others are answered 400 and change nothing; they are held for 5 s, since a server may report before the policy that names its service arrives.

Ruled out: a calling service taken from the request (it is replaced at the entry).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -110,6 +110,7 @@
 	// stopConfig holds the shutdown delay and timeout; ReloadLoop may replace them.
 	stopConfig    atomic.Pointer[config.Front]
 	serverTracker *life.Tracker
+	services      services
 	peerPool      *httpc.Pool
 	serverPool    *httpc.Pool
 	crashes       crashCounter
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -77,8 +77,9 @@
 // HeartbeatSink holds the callbacks for heartbeats and deregistrations of a
 // backend server.
 type HeartbeatSink struct {
-	// OnHeartbeat handles a heartbeat and reports whether it is from the backend server of this daemon.
-	OnHeartbeat func(life.Report) bool
+	// OnHeartbeat handles a heartbeat. It returns an error if the heartbeat is not of a backend server of this
+	// daemon.
+	OnHeartbeat func(life.Report) error
 	// OnDeregister handles a deregistration. startedAt is the start time of the server, zero if it was not sent.
 	OnDeregister func(id string, startedAt time.Time)
 	// OnInvalid handles an invalid message.
@@ -93,6 +94,7 @@
 	d.serverPool = httpc.New(httpc.Config{DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns, Now: time.Now})
 	d.front = front.New(front.Config{
 		Self:            d.cfg.ID,
+		Incarnation:     d.incarnation,
 		Service:         d.cfg.Service,
 		ServerAddr:      d.cfg.ServerAddr,
 		Headers:         d.adapter.Headers,
@@ -116,6 +118,9 @@
 		Log:             d.log,
 		Now:             time.Now,
 	})
+	if p := d.policyHolder.Policy(); p != nil {
+		d.addServices(p)
+	}
 	for _, s := range d.newHTTPServers() {
 		l, err := net.Listen("tcp", s.Addr)
 		if err != nil {
@@ -140,7 +145,7 @@
 		d.newHTTPServer("entry", c.Outbound, d.front.Outbound(), outboundIdleTimeout),
 		d.newHTTPServer("ingress", c.Inbound, d.front.Inbound(), inboundIdleTimeout),
 		d.newHTTPServer("ready", c.Ready, http.HandlerFunc(d.serveReady), outboundIdleTimeout),
-		d.newHTTPServer("heartbeat", c.Control, d.adapter.HeartbeatHandler(HeartbeatSink{OnHeartbeat: d.serverTracker.HandleReport, OnDeregister: d.serverDeregistered, OnInvalid: d.badHeartbeat}), outboundIdleTimeout),
+		d.newHTTPServer("heartbeat", c.Control, d.adapter.HeartbeatHandler(HeartbeatSink{OnHeartbeat: d.handleReport, OnDeregister: d.serverDeregistered, OnInvalid: d.badHeartbeat}), outboundIdleTimeout),
 	}
 	if c.Metrics.IsValid() {
 		list = append(list, d.newHTTPServer("metrics", c.Metrics, http.HandlerFunc(d.serveMetrics), outboundIdleTimeout))
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -168,6 +168,9 @@
 		Timeout: 1500 * time.Millisecond, TargetLatency: time.Second, WeightedServices: []policy.WeightedService{{Service: service, Weight: 1}},
 	}
 	services := []policy.Service{{Name: "one", HealthPath: "/health", MaxConnections: 50}, {Name: "two", HealthPath: "/health", MaxConnections: 50}}
+	if service != "one" && service != "two" {
+		services = append(services, policy.Service{Name: service, HealthPath: "/health", MaxConnections: 50})
+	}
 	table, err := policy.NewTable([]policy.Route{r}, services, policy.Limits{MaxBodyBytes: 100_000})
 	if err != nil {
 		s.t.Fatal(err)
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -39,6 +39,7 @@
 		return
 	}
 	d.log.WithFields(logrus.Fields{"revision": p.Revision, "change": p.ChangeID, "from": source, "era": d.storeEra().Era, "announced_ms": d.confirmed.TakeDelay().Milliseconds()}).Info("policy in force")
+	d.addServices(p)
 	d.node.AnnounceRevision()
 }
 
--- a/life/life.go
+++ b/life/life.go
@@ -13,6 +13,7 @@
 package life
 
 import (
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -60,6 +61,16 @@
 	ColdRemaining time.Duration
 }
 
+// ReportError reports a status report that is of no server beside this daemon.
+type ReportError struct {
+	// Field is the field of the report, Value its value.
+	Field, Value string
+}
+
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("report of an unknown server: %s %q", e.Field, e.Value)
+}
+
 // Server is the tracked state of the backend server.
 type Server struct {
 	Report
