front, httpc, daemon: bytes without end hold no request without end

Of 400 clients of a server that answers without end, the 80 that upload one byte in 20 ms got no answer and held their request for good; a caller that does not read a long answer held its request as well.

Cause: the time limit of a request ended its exchange with the server only. Reading a short body and writing to a caller had no limit. Now a short body must arrive by the deadline (408, nothing was sent on), each 32 KB of an answer must be taken within 5 s, and the small servers have limits of time.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -144,15 +144,22 @@
 	list := []*http.Server{
 		d.newHTTPServer("entry", c.Outbound, d.front.Outbound(), outboundIdleTimeout),
 		d.newHTTPServer("ingress", c.Inbound, d.front.Inbound(), inboundIdleTimeout),
-		d.newHTTPServer("ready", c.Ready, http.HandlerFunc(d.serveReady), outboundIdleTimeout),
-		d.newHTTPServer("heartbeat", c.Control, d.adapter.HeartbeatHandler(HeartbeatSink{OnHeartbeat: d.handleReport, OnDeregister: d.serverDeregistered, OnInvalid: d.badHeartbeat}), outboundIdleTimeout),
+		d.newLocalServer("ready", c.Ready, http.HandlerFunc(d.serveReady)),
+		d.newLocalServer("heartbeat", c.Control, d.adapter.HeartbeatHandler(HeartbeatSink{OnHeartbeat: d.handleReport, OnDeregister: d.serverDeregistered, OnInvalid: d.badHeartbeat})),
 	}
 	if c.Metrics.IsValid() {
-		list = append(list, d.newHTTPServer("metrics", c.Metrics, http.HandlerFunc(d.serveMetrics), outboundIdleTimeout))
+		list = append(list, d.newLocalServer("metrics", c.Metrics, http.HandlerFunc(d.serveMetrics)))
 	}
 	return list
 }
 
+// newLocalServer returns a server whose requests and responses are short.
+func (d *Daemon) newLocalServer(task string, addr netip.AddrPort, h http.Handler) *http.Server {
+	s := d.newHTTPServer(task, addr, h, outboundIdleTimeout)
+	s.ReadTimeout, s.WriteTimeout = headerTimeout, headerTimeout
+	return s
+}
+
 func (d *Daemon) newHTTPServer(task string, addr netip.AddrPort, h http.Handler, idle time.Duration) *http.Server {
 	return &http.Server{
 		Addr:              addr.String(),
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -103,6 +103,8 @@
 	leaving, healthLeaving atomic.Bool
 	mu                     sync.Mutex
 	ranAt                  []time.Time
+	// fault, if set, handles the requests in place of the backend server.
+	fault atomic.Pointer[http.HandlerFunc]
 	// log holds the log entries of the latest process.
 	log atomic.Pointer[logtest.Hook]
 	// storeCalls counts the calls to the store.
@@ -228,6 +230,10 @@
 		w.Header().Set(h.Load, "0,0,4")
 		return
 	}
+	if fault := n.fault.Load(); fault != nil {
+		(*fault)(w, r)
+		return
+	}
 	n.runs.Add(1)
 	n.ranIDs.Store(r.Header.Get(h.RequestID), true)
 	n.mu.Lock()
--- a/front/body.go
+++ b/front/body.go
@@ -38,8 +38,9 @@
 	_ = b.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// readBody buffers a body of up to maxBufferedBody bytes. It returns a longer body as a stream.
-func readBody(w http.ResponseWriter, hr *http.Request) ([]byte, *bodyStream, error) {
+// readBody buffers a body of up to maxBufferedBody bytes, which must arrive by the deadline. It returns
+// a longer body as a stream.
+func readBody(w http.ResponseWriter, hr *http.Request, deadline time.Time) ([]byte, *bodyStream, error) {
 	if hr.ContentLength == 0 {
 		return nil, nil, nil
 	}
@@ -47,10 +48,13 @@
 	if hr.ContentLength > maxBufferedBody {
 		return nil, stream, nil
 	}
+	// The deadlines can't be set only on a closed connection, where reading fails as well.
+	_ = stream.conn.SetReadDeadline(deadline)
 	prefix, err := io.ReadAll(io.LimitReader(hr.Body, maxBufferedBody+1))
 	if err != nil {
 		return nil, nil, err
 	}
+	_ = stream.conn.SetReadDeadline(time.Time{})
 	if len(prefix) > maxBufferedBody {
 		stream.r = io.MultiReader(strings.NewReader(string(prefix)), hr.Body)
 		return nil, stream, nil
--- a/front/entry.go
+++ b/front/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -127,12 +128,15 @@
 func (f *Front) prepare(w http.ResponseWriter, r *request, hr *http.Request) *localReply {
 	var err error
 	r.length = hr.ContentLength
-	r.body, r.stream, err = readBody(w, hr)
+	r.body, r.stream, err = readBody(w, hr, r.deadline)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return &localReply{status: http.StatusRequestEntityTooLarge, reason: "body"}
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return &localReply{status: http.StatusRequestTimeout, reason: "body"}
+		}
 		return &localReply{status: http.StatusBadRequest, reason: "body"}
 	}
 	r.service = f.splitter.pick(r.route)
--- a/front/faulty_test.go
+++ b/front/faulty_test.go
@@ -140,6 +140,47 @@
 	}
 }
 
+// A caller that does not read a long response held its request for good.
+func TestCallerThatDoesNotReadHoldsItsRequest(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	large := strings.Repeat("x", 16<<20)
+	target.setHandler(func(w net.Conn, r *http.Request, _ string) bool {
+		respond(w, r, 200, large)
+		return true
+	})
+	c, err := net.Dial("tcp", source.outbound.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := fmt.Fprint(c, "GET /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r1\r\nT-Left: 3000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for end := time.Now().Add(8 * time.Second); source.Inflight() > 0; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the request is still in flight")
+		}
+	}
+}
+
+// A caller that stops in the middle of a short body got no answer.
+func TestCallerThatStopsInItsBodyGetsNoAnswer(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source := cl.add("dues")
+	c, err := net.Dial("tcp", source.outbound.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetReadDeadline(time.Now().Add(viewRoute.Timeout + time.Second))
+	got := send(c, "POST /view/x HTTP/1.1\r\nHost: h.example\r\nT-Request: r1\r\nT-Left: 3000\r\nContent-Length: 100\r\n\r\nhalf")
+	if got.status != http.StatusRequestTimeout {
+		t.Errorf("response %+v", got)
+	}
+}
+
 // A server may respond before it has read a long request body. The response is forwarded, and the
 // next request gets its own.
 func TestResponseBeforeEndOfRequestBody(t *testing.T) {
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -43,7 +43,7 @@
 		return
 	}
 	req.length = r.ContentLength
-	req.body, req.stream, err = readBody(w, r)
+	req.body, req.stream, err = readBody(w, r, req.deadline)
 	if err != nil || f.peerLeft(r.Context()) {
 		writeNotRun(w, reasonCanceled)
 		return
--- a/front/response.go
+++ b/front/response.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -71,6 +72,14 @@
 	deadlineErr *admit.DeadlineError
 }
 
+const (
+	// writeSize is the number of bytes of a body that are sent at once.
+	writeSize = 32 << 10
+	// writeTimeout limits the time in which a caller must take writeSize bytes. One that reads slowly has
+	// at least 6 KB/s.
+	writeTimeout = 5 * time.Second
+)
+
 // load is the number of running and queued requests of an instance and its concurrency limit.
 type load struct {
 	running, queued, limit int
@@ -110,13 +119,40 @@
 		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	w.WriteHeader(a.status)
-	if a.stream == nil {
+	if a.stream == nil && len(a.body) <= writeSize {
 		// A write fails only if the caller has closed its connection.
 		_, _ = w.Write(a.body)
 		return nil
 	}
-	_, err := io.Copy(w, a.stream)
-	return errors.Wrap(err, "send response body")
+	body := a.stream
+	if body == nil {
+		body = bytes.NewReader(a.body)
+	}
+	return errors.Wrap(writeBody(w, body), "send response body")
+}
+
+// writeBody sends a body piece by piece. It fails if the caller does not take a piece within
+// writeTimeout.
+func writeBody(w http.ResponseWriter, body io.Reader) error {
+	conn := http.NewResponseController(w)
+	// The deadlines can't be set only on a closed connection, where writing fails as well.
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
+	piece := make([]byte, writeSize)
+	for {
+		n, err := body.Read(piece)
+		if n > 0 {
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := w.Write(piece[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return conn.Flush()
+		case err != nil:
+			return err
+		}
+	}
 }
 
 // breakOff aborts the connection of a request whose response is truncated, so that the caller does not
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -283,19 +283,24 @@
 
 // streamBody leaves a large body to the caller. prefix was read from it already.
 func (x *exchange) streamBody(out *Response, resp *http.Response, prefix []byte) {
-	body := &eofReader{r: io.MultiReader(bytes.NewReader(prefix), resp.Body)}
+	body := &eofReader{ctx: x.ctx, r: io.MultiReader(bytes.NewReader(prefix), resp.Body)}
 	out.Stream = body
 	out.close = func() { x.release(resp, body.atEOF) }
 }
 
-// eofReader records whether a body was read to EOF.
+// eofReader records whether a body was read to EOF. It fails once ctx is done, also while there are
+// buffered bytes, since the rest can't be read then.
 type eofReader struct {
+	ctx   context.Context //nolint:containedctx // That of the exchange.
 	r     io.Reader
 	atEOF bool
 }
 
 // Read implements io.Reader.
 func (e *eofReader) Read(b []byte) (int, error) {
+	if err := e.ctx.Err(); err != nil && !e.atEOF {
+		return 0, err
+	}
 	n, err := e.r.Read(b)
 	e.atEOF = err == io.EOF
 	return n, err
