front: an early answer leaves the rest of the request's body alone

Cause: net/http reads and drops the rest of a request before it sends the head of the answer, beside the goroutine that sends the body on. For the same reason an answer of the daemon waited for the body of a client that stalls.

Now such an answer goes out at once, in full duplex, and the body has one reader. After it, the connection to the server is closed (a body that is visibly broken off), and the client's after up to 0.5 s of draining.

Ruled out: a body cut off in the exchange and sent as complete (the buffered path holds).

--- a/front/body.go
+++ b/front/body.go
@@ -10,6 +10,14 @@
 	"sycamorespread.dev/httpc"
 )
 
+const (
+	// stopTimeout is how long a body may still arrive after the exchange that sends it on has ended.
+	stopTimeout = 200 * time.Millisecond
+	// drainTimeout is how long net/http may read the rest of a body after the response. Without that, the
+	// close of the connection may destroy a response that the caller has not read yet.
+	drainTimeout = 500 * time.Millisecond
+)
+
 // bodyStream is a request body that is too large to buffer. It is sent on while it arrives, also
 // after the response has begun.
 type bodyStream struct {
@@ -28,14 +36,14 @@
 	return n, err
 }
 
-// stop makes a blocked Read return. No further request can be read from the connection then.
+// stop makes a blocked Read return soon. No further request can be read from the connection then.
 func (b *bodyStream) stop() {
 	if b.ended.Load() {
 		// net/http reads from the connection until the handler returns, to notice that the caller left.
 		return
 	}
 	// This fails only if the connection is closed, and Read with it.
-	_ = b.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = b.conn.SetReadDeadline(time.Now().Add(stopTimeout))
 }
 
 // readBody buffers a body of up to maxBufferedBody bytes, which must arrive by the deadline. It returns
@@ -62,6 +70,23 @@
 	return prefix, nil, nil
 }
 
+// beginResponse must be called before the response to a request is written, and the returned function
+// after it. If the body of the request was not read to its end, net/http would first read and drop the
+// rest of it, beside the goroutine that sends it on and however long that takes.
+func (r *request) beginResponse(w http.ResponseWriter, hr *http.Request) (end func()) {
+	if hr.ContentLength == 0 || r.buffered || r.stream != nil && r.stream.ended.Load() {
+		return func() {}
+	}
+	conn := http.NewResponseController(w)
+	// This fails only if the server is not that of net/http.
+	_ = conn.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	return func() {
+		// This fails only on a closed connection.
+		_ = conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	}
+}
+
 // setStream sets the streamed body of a request to send, if it has one.
 func (r *request) setStream(req *httpc.Request) {
 	if r.stream != nil {
--- a/front/entry.go
+++ b/front/entry.go
@@ -54,22 +54,22 @@
 func (f *Front) serveOutbound(w http.ResponseWriter, hr *http.Request) {
 	r, errReply := f.parseRequest(w, hr)
 	if errReply != nil {
-		f.writeLocalReply(w, r, *errReply)
+		f.writeLocalReply(w, hr, r, *errReply)
 		return
 	}
 	defer f.trackInflight()()
 	if f.Closing() && !r.nested || f.Ending() {
-		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: minRetryAfter})
+		f.writeLocalReply(w, hr, r, localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: minRetryAfter})
 		return
 	}
 	if f.peerLeft(hr.Context()) {
-		f.writeLocalReply(w, r, localReply{status: http.StatusServiceUnavailable, reason: reasonCanceled})
+		f.writeLocalReply(w, hr, r, localReply{status: http.StatusServiceUnavailable, reason: reasonCanceled})
 		return
 	}
 	resp, reply := f.forward(hr.Context(), r)
 	if resp == nil {
 		f.notifyServed(r, false)
-		f.writeLocalReply(w, r, reply)
+		f.writeLocalReply(w, hr, r, reply)
 		return
 	}
 	r.log.status = resp.status
@@ -83,6 +83,7 @@
 	w.Header()["Date"] = nil
 	// Another instance omits the ID in its response.
 	resp.header.Set(f.Headers.RequestID, r.id)
+	defer r.beginResponse(w, hr)()
 	if err := resp.write(w); err != nil {
 		f.breakOff(hr, r, err)
 	}
@@ -139,6 +140,7 @@
 		}
 		return &localReply{status: http.StatusBadRequest, reason: "body"}
 	}
+	r.buffered = r.stream == nil
 	r.service = f.splitter.pick(r.route)
 	r.origin = f.origin()
 	r.key = admissionKey(r.route.Rank, r.id)
@@ -301,7 +303,8 @@
 }
 
 // writeLocalReply sends a reply that the Front generates itself, and logs the request.
-func (f *Front) writeLocalReply(w http.ResponseWriter, r *request, reply localReply) {
+func (f *Front) writeLocalReply(w http.ResponseWriter, hr *http.Request, r *request, reply localReply) {
+	defer r.beginResponse(w, hr)()
 	r.log.status = reply.status
 	r.log.retryAfter = reply.retryAfter
 	f.logRequest(r, reply.reason)
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -31,7 +31,7 @@
 // serveInbound handles a request of another Front.
 func (f *Front) serveInbound(w http.ResponseWriter, r *http.Request) {
 	if f.Closing() {
-		writeNotRun(w, reasonLeaving)
+		writeNotRun(w, r, new(request), reasonLeaving)
 		return
 	}
 	defer f.trackInflight()()
@@ -39,27 +39,30 @@
 	req, err := decodeHopRequest(r, f.Headers, f.Now())
 	if err != nil {
 		f.Log.WithField("err", err).Warn("invalid request from another daemon")
-		writeNotRun(w, reasonLost)
+		writeNotRun(w, r, req, reasonLost)
 		return
 	}
 	req.length = r.ContentLength
 	req.body, req.stream, err = readBody(w, r, req.deadline)
 	if err != nil || f.peerLeft(r.Context()) {
-		writeNotRun(w, reasonCanceled)
+		writeNotRun(w, r, req, reasonCanceled)
 		return
 	}
+	req.buffered = req.stream == nil
 	resp := f.runWithDeadline(r.Context(), req)
 	if req.senderRestoresID {
 		resp.header.Del(f.Headers.RequestID)
 	}
 	f.addNotice(w.Header())
+	defer req.beginResponse(w, r)()
 	if err := resp.writeHop(w); err != nil {
 		f.breakOff(r, req, err)
 	}
 }
 
 // writeNotRun tells another Front that its request did not run.
-func writeNotRun(w http.ResponseWriter, reason string) {
+func writeNotRun(w http.ResponseWriter, hr *http.Request, r *request, reason string) {
+	defer r.beginResponse(w, hr)()
 	// Without a body, there is nothing to break off.
 	_ = notRunResponse(reason).writeHop(w)
 }
--- a/front/request.go
+++ b/front/request.go
@@ -46,7 +46,8 @@
 	lates int
 	// senderRestoresID is set if the sending Front adds the request ID to the response.
 	senderRestoresID bool
-	// body is the complete body, unless stream is set.
+	// body is the complete body once buffered is set, unless stream is set.
+	buffered    bool
 	body        []byte
 	stream      *bodyStream
 	length      int64
