member, poison, daemon: poison entries are exchanged at a join

Cause: poison entries are gossiped once, when they change; the exchange of a daemon that joins carried members only. So each restart lost a copy.

The exchange compares a digest of the entries now and carries them both ways if it differs, at a join and every 15 s. Lifted entries are among them, so that no lift is undone. What was learned so is not gossiped again.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -61,6 +61,9 @@
 		OnNewerRevision: d.requestPull,
 		OnInvalid:       d.invalidEntry,
 		OnPoison:        d.mergePoison,
+		Poisons:         d.quarantine.Entries,
+		PoisonDigest:    d.quarantine.Digest,
+		OnSyncPoisons:   d.learnPoisons,
 		OnChange:        d.routesChanged,
 		Exchange:        d.exchange,
 		Guard:           d.guard,
@@ -79,6 +82,17 @@
 	}
 }
 
+// learnPoisons merges poison entries of an exchange with another daemon.
+func (d *Daemon) learnPoisons(entries []*sycapb.PoisonEntry) {
+	changed, errs := d.quarantine.Learn(entries)
+	for _, err := range errs {
+		d.invalidEntry(err)
+	}
+	if changed > 0 {
+		d.log.WithFields(logrus.Fields{"received": len(entries), "changed": changed}).Info("poison entries learned")
+	}
+}
+
 // storeEra returns the latest era in a response of the store, and the latest restore
 // that this daemon knows of.
 func (d *Daemon) storeEra() (e member.StoreEra) {
--- a/member/member.go
+++ b/member/member.go
@@ -86,8 +86,13 @@
 	// OnInvalid is called for each received entry that is invalid, with an *EntryError. It must not
 	// block nor call the Node, and may be nil.
 	OnInvalid func(error)
-	// OnPoison is called with each poison entry received.
+	// OnPoison is called with each poison entry received by gossip.
 	OnPoison func(*sycapb.PoisonEntry)
+	// Poisons returns all poison entries, PoisonDigest a digest of them that is 0 if there are none, and
+	// OnSyncPoisons is called with those received in an exchange. The three may be nil.
+	Poisons       func() []*sycapb.PoisonEntry
+	PoisonDigest  func() uint64
+	OnSyncPoisons func([]*sycapb.PoisonEntry)
 	// OnChange is called after the member list changed. It must not block.
 	OnChange func()
 	// Exchange sends a SyncRequest to the daemon at addr.
--- a/member/sync.go
+++ b/member/sync.go
@@ -110,9 +110,10 @@
 }
 
 // Sync exchanges entries with the daemon at addr: first a digest of each zone,
-// then the entries of the zones whose digests differ.
+// then the entries of the zones whose digests differ. Poison entries are
+// exchanged in the same way.
 func (n *Node) Sync(ctx context.Context, addr netip.AddrPort) error {
-	reply, err := n.cfg.Exchange(ctx, addr, &sycapb.SyncRequest{Digests: n.digests()})
+	reply, err := n.cfg.Exchange(ctx, addr, &sycapb.SyncRequest{Digests: n.digests(), PoisonDigest: n.poisonDigest()})
 	if err != nil {
 		return err
 	}
@@ -121,13 +122,45 @@
 	}
 	newer := n.entriesNewerThan(n.zoneEntries(reply.Differ), reply.Entries)
 	n.Merge(reply.Entries)
-	if len(newer) == 0 {
+	var poisons []*sycapb.PoisonEntry
+	if reply.PoisonDigest != n.poisonDigest() {
+		poisons = n.poisonsOtherThan(reply.Poisons)
+		n.learnPoisons(reply.Poisons)
+	}
+	if len(newer) == 0 && len(poisons) == 0 {
 		return nil
 	}
-	_, err = n.cfg.Exchange(ctx, addr, &sycapb.SyncRequest{Entries: newer})
+	_, err = n.cfg.Exchange(ctx, addr, &sycapb.SyncRequest{Entries: newer, Poisons: poisons})
 	return err
 }
 
+func (n *Node) poisonDigest() uint64 {
+	if n.cfg.PoisonDigest == nil {
+		return 0
+	}
+	return n.cfg.PoisonDigest()
+}
+
+// poisonsOtherThan returns the poison entries that another daemon lacks or has in another version.
+func (n *Node) poisonsOtherThan(theirs []*sycapb.PoisonEntry) []*sycapb.PoisonEntry {
+	if n.cfg.Poisons == nil {
+		return nil
+	}
+	known := make(map[uint64]*sycapb.PoisonEntry, len(theirs))
+	for _, e := range theirs {
+		known[e.GetFingerprint()] = e
+	}
+	return slices.DeleteFunc(n.cfg.Poisons(), func(e *sycapb.PoisonEntry) bool {
+		return proto.Equal(e, known[e.Fingerprint])
+	})
+}
+
+func (n *Node) learnPoisons(entries []*sycapb.PoisonEntry) {
+	if n.cfg.OnSyncPoisons != nil && len(entries) > 0 {
+		n.cfg.OnSyncPoisons(entries)
+	}
+}
+
 // entriesNewerThan returns the entries of own that another daemon lacks or has
 // in an older version.
 func (n *Node) entriesNewerThan(own, theirs []*sycapb.MemberEntry) []*sycapb.MemberEntry {
@@ -147,6 +180,7 @@
 // HandleSync handles a SyncRequest from another daemon.
 func (n *Node) HandleSync(req *sycapb.SyncRequest) *sycapb.SyncReply {
 	n.Merge(req.Entries)
+	n.learnPoisons(req.Poisons)
 	if req.Digests == nil {
 		return &sycapb.SyncReply{}
 	}
@@ -163,7 +197,10 @@
 		}
 	}
 	slices.Sort(differing)
-	reply := &sycapb.SyncReply{Differ: differing, Entries: n.zoneEntries(differing)}
+	reply := &sycapb.SyncReply{Differ: differing, Entries: n.zoneEntries(differing), PoisonDigest: n.poisonDigest()}
+	if reply.PoisonDigest != req.PoisonDigest {
+		reply.Poisons = n.poisonsOtherThan(nil)
+	}
 	if n.cfg.StoreEra != nil {
 		e := n.cfg.StoreEra()
 		reply.StoreEra, reply.RestoreAgeMs = e.Era, e.ageMs()
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -193,18 +193,27 @@
 // Merge merges an entry from another daemon. Crashes are merged as a set; a higher lift count
 // discards the crashes of a lower one. The error is an *EntryError.
 func (r *Registry) Merge(in *sycapb.PoisonEntry) error {
+	in, err := r.check(in)
+	if err == nil {
+		r.mergeValid(in)
+	}
+	return err
+}
+
+// check returns an entry from another daemon with a time of its last crash that is not in the future.
+// The error is an *EntryError.
+func (r *Registry) check(in *sycapb.PoisonEntry) (*sycapb.PoisonEntry, error) {
 	switch {
-	case in.Lifts > maxLifts:
-		return &EntryError{Fingerprint: in.Fingerprint, Field: "lifts"}
+	case in.GetLifts() > maxLifts:
+		return nil, &EntryError{Fingerprint: in.Fingerprint, Field: "lifts"}
 	case proto.Size(in) > maxEntryBytes:
-		return &EntryError{Fingerprint: in.Fingerprint, Field: "size"}
+		return nil, &EntryError{Fingerprint: in.Fingerprint, Field: "size"}
 	}
-	if now := r.now().UnixMilli(); in.SeenUnixMs > now {
+	if now := r.now().UnixMilli(); in.GetSeenUnixMs() > now {
 		in = proto.Clone(in).(*sycapb.PoisonEntry)
 		in.SeenUnixMs = now
 	}
-	r.mergeValid(in)
-	return nil
+	return in, nil
 }
 
 func (r *Registry) mergeValid(in *sycapb.PoisonEntry) {
@@ -213,10 +222,50 @@
 	}
 }
 
+// Learn merges entries from an exchange with another daemon, without a call of onChange for each: other
+// daemons get them in exchanges, too. It returns the number of those that changed something and the
+// invalid ones as *EntryError.
+func (r *Registry) Learn(entries []*sycapb.PoisonEntry) (changed int, errs []error) {
+	for _, in := range entries {
+		in, err := r.check(in)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if _, ok := r.merge(in); ok {
+			changed++
+		}
+	}
+	return changed, errs
+}
+
+// Digest returns a hash of the entries that does not depend on their order, 0 if there are none.
+func (r *Registry) Digest() uint64 {
+	var sum uint64
+	for _, e := range r.Entries() {
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%x %d %s", e.Fingerprint, e.Lifts, evidence(e)))
+	}
+	return sum
+}
+
+// evidence returns what of the crashes of an entry matters. Registries may keep different ones of those
+// beyond crashesToQuarantine.
+func evidence(e *sycapb.PoisonEntry) string {
+	state := stateOf(e)
+	if state == Quarantined {
+		return state.String()
+	}
+	crashes := slices.DeleteFunc(slices.Clone(e.Crashes), func(id string) bool { return strings.HasSuffix(id, sharedMark) })
+	return fmt.Sprintf("%s %q", state, crashes)
+}
+
 func (r *Registry) merge(in *sycapb.PoisonEntry) (*sycapb.PoisonEntry, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire()
+	if isExpired(in, r.now()) {
+		return nil, false
+	}
 	fp := Fingerprint(in.Fingerprint)
 	e, ok := r.entries[fp]
 	if !ok || in.Lifts > e.Lifts {
@@ -244,16 +293,20 @@
 func (r *Registry) expire() {
 	now := r.now()
 	for fp, e := range r.entries {
-		ttl := suspectTTL
-		if stateOf(e) == Quarantined {
-			ttl = quarantineTTL
-		}
-		if now.Sub(time.UnixMilli(e.SeenUnixMs)) > ttl {
+		if isExpired(e, now) {
 			delete(r.entries, fp)
 		}
 	}
 }
 
+func isExpired(e *sycapb.PoisonEntry, now time.Time) bool {
+	ttl := suspectTTL
+	if stateOf(e) == Quarantined {
+		ttl = quarantineTTL
+	}
+	return now.Sub(time.UnixMilli(e.SeenUnixMs)) > ttl
+}
+
 // stateOf returns the state of a request with an entry, which may be nil.
 func stateOf(e *sycapb.PoisonEntry) State {
 	own, shared := countCrashes(e)
@@ -316,6 +369,7 @@
 func (r *Registry) Entries() []*sycapb.PoisonEntry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expire()
 	list := make([]*sycapb.PoisonEntry, 0, len(r.entries))
 	for _, e := range r.entries {
 		list = append(list, proto.Clone(e).(*sycapb.PoisonEntry))
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -133,6 +133,9 @@
 			_ = two.Merge(e)
 		}
 		for fp := range poison.Fingerprint(4) {
+			if one.Digest() != two.Digest() {
+				t.Fatalf("digests differ: %v, %v", one.Entries(), two.Entries())
+			}
 			if one.State(fp) != two.State(fp) {
 				t.Fatalf("fingerprint %d is %s in one registry and %s in the other", fp, one.State(fp), two.State(fp))
 			}
