--- a/front/hopheader.go
+++ b/front/hopheader.go
@@ -176,9 +176,9 @@
 	return req, f.err
 }
 
-// writeHop writes the response to another Front; its errors are those of write. Its hopHeader has outcome, reason, admission
-// levels, running requests, queued requests, concurrency limit, time in the queue and at the
-// backend server in microseconds, and the ID of a crash.
+// writeHop writes the response to another Front; its errors are those of write. Its hopHeader has
+// outcome, reason, admission levels, running requests, queued requests, concurrency limit, time in the
+// queue and at the backend server in microseconds, and the crash if there was one.
 func (a *response) writeHop(w http.ResponseWriter) error {
 	var f hopWriter
 	f.text(a.outcome.String()).text(a.reason).escaped(a.levels.text)
--- a/seed/seed.go
+++ b/seed/seed.go
@@ -8,10 +8,10 @@
 // that others exist, so the daemons of a zone together also list the seeds every
 // few seconds and join those that are not members.
 //
-// The number of calls matters if a whole fleet starts or
-// restarts at once: hundreds of daemons would each write a seed. Therefore a
-// daemon writes a seed only if it found none of another daemon, or once it knows
-// the members of its zone and is one of the first.
+// The number of calls matters if a whole fleet starts or restarts at once:
+// hundreds of daemons would each write a seed. Therefore a daemon writes a seed
+// only if it found none of another daemon, or once it knows the members of its
+// zone and is one of the first.
 //
 //	f := seed.New(seed.Config{SeedsPerZone: 3, ListSeeds: list, RenewSeed: renew, Join: join, ...})
 //	group.Go(func() error { return f.Join(ctx) })
@@ -191,7 +191,7 @@
 	}
 	before := f.MemberCount()
 	ok := f.Config.Join(ctx, missing[:min(len(missing), maxContacts)])
-	f.Log.WithFields(logrus.Fields{"missing": len(missing), "joined": ok, "members": before, "after": f.MemberCount()}).Info("joined daemons that were not members")
+	f.Log.WithFields(logrus.Fields{"missing": len(missing), "joined": ok, "members": before, "after": f.MemberCount()}).Info("contacted daemons that were not members")
 }
 
 // MaintainSeed writes and renews the own seed while the daemon is among the
