front: long uploads of a path no longer share a quarantine

Cause: the fingerprint takes the buffered body, which is empty for a streamed one. TestLongUploadsShareAQuarantine failed before.

--- a/front/body.go
+++ b/front/body.go
@@ -1,12 +1,13 @@
 package front
 
 import (
+	"bytes"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"sycamorespread.dev/action"
 	"sycamorespread.dev/httpc"
 )
 
@@ -25,6 +26,8 @@
 	// ended is set once the body was read to its end or failed.
 	ended atomic.Bool
 	conn  *http.ResponseController
+	// digest is that of the beginning of the body.
+	digest uint64
 }
 
 // Read implements io.Reader.
@@ -47,15 +50,12 @@
 }
 
 // readBody buffers a body of up to maxBufferedBody bytes, which must arrive by the deadline. It returns
-// a longer body as a stream.
+// a longer body as a stream, once so much of it has arrived.
 func readBody(w http.ResponseWriter, hr *http.Request, deadline time.Time) ([]byte, *bodyStream, error) {
 	if hr.ContentLength == 0 {
 		return nil, nil, nil
 	}
 	stream := &bodyStream{r: hr.Body, conn: http.NewResponseController(w)}
-	if hr.ContentLength > maxBufferedBody {
-		return nil, stream, nil
-	}
 	// The deadlines can't be set only on a closed connection, where reading fails as well.
 	_ = stream.conn.SetReadDeadline(deadline)
 	prefix, err := io.ReadAll(io.LimitReader(hr.Body, maxBufferedBody+1))
@@ -64,7 +64,8 @@
 	}
 	_ = stream.conn.SetReadDeadline(time.Time{})
 	if len(prefix) > maxBufferedBody {
-		stream.r = io.MultiReader(strings.NewReader(string(prefix)), hr.Body)
+		stream.digest = action.Digest(prefix)
+		stream.r = io.MultiReader(bytes.NewReader(prefix), hr.Body)
 		return nil, stream, nil
 	}
 	return prefix, nil, nil
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,12 +29,12 @@
 func newCrashes(t *testing.T, i *instance) *crashes {
 	c := &crashes{instance: i, t: t}
 	i.setHandler(func(w net.Conn, req *http.Request, body string) bool {
-		switch req.URL.Path {
-		case "/view/bad":
+		switch {
+		case req.URL.Path == "/view/bad", strings.HasPrefix(body, "bad"):
 			c.bad.Add(1)
 			c.crash()
 			return false
-		case "/view/popular":
+		case req.URL.Path == "/view/popular":
 			time.Sleep(popularRunTime)
 		}
 		return respondOK(w, req, body)
@@ -122,3 +123,23 @@
 		t.Errorf("the request crashed the server %d times, last response %+v", n, bad)
 	}
 }
+
+// All long uploads of a path were quarantined with one that crashes the server.
+func TestLongUploadsShareAQuarantine(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source := cl.add("dues")
+	server := newCrashes(t, cl.add("plots"))
+	rest := strings.Repeat("x", 200_000)
+	for n := range 4 {
+		source.request("POST", "/view/upload", fmt.Sprint("b", n), "bad "+rest)
+		server.revive()
+	}
+	if n := server.bad.Load(); n > 3 {
+		t.Errorf("the upload crashed the server %d times", n)
+	}
+	for n := range 2 {
+		if got := source.request("POST", "/view/upload", fmt.Sprint("g", n), "good"+rest); got.status != http.StatusOK {
+			t.Errorf("response to another upload: status %d", got.status)
+		}
+	}
+}
--- a/front/request.go
+++ b/front/request.go
@@ -137,7 +137,11 @@
 }
 
 // fingerprintOf returns the same fingerprint for requests of the same service, origin, method,
-// target and body.
+// target and body. Of a body that is not buffered, the beginning and the length count.
 func fingerprintOf(r *request) poison.Fingerprint {
-	return poison.FingerprintOf(r.service, r.origin+" "+r.method+" "+r.target, action.Digest(r.body))
+	digest := action.Digest(r.body)
+	if r.stream != nil {
+		digest = r.stream.digest + uint64(r.length)
+	}
+	return poison.FingerprintOf(r.service, r.origin+" "+r.method+" "+r.target, digest)
 }
