bench: a soak with long uploads, early and broken-off answers, and foreign heartbeats

It checks that a body arrives as sent or broken off, that half an answer does not look complete, and that the heartbeat is not acknowledged.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES = . bench stand sycctl sycd sycload
 PROGRAMS = sycd sycctl sycload stand bench
 SEED ?= 1
-# Further flags of the soak, such as --deep.
+# Further flags of the soak, such as --deep or --long.
 SOAK ?=
 DURATION ?= 60s
 # The users' bench and the site files of the regression runs, the largest first.
--- a/bench/soak.go
+++ b/bench/soak.go
@@ -52,7 +52,9 @@
 	// faults are the kinds of faults to inject.
 	faults []soakFault
 	// deep is set if the lower service calls a third one, the base.
-	deep   bool
+	deep bool
+	// long is set if callers also send uploads with long bodies.
+	long   bool
 	client *store.Client
 	g      errgroup.Group
 	cancel context.CancelFunc
@@ -77,17 +79,21 @@
 	var seed uint64
 	var dur time.Duration
 	var size int
-	var deep bool
+	var deep, long bool
 	cmd := &cobra.Command{Use: "soak", Short: "Inject random faults into the programs on the users' platform", Args: cobra.NoArgs}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the fault schedule")
 	cmd.Flags().DurationVar(&dur, "duration", 40*time.Second, "duration of the run, with the fault-free time at its end")
 	cmd.Flags().IntVar(&size, "size", 9, "instances")
 	cmd.Flags().BoolVar(&deep, "deep", false, "three services that call each other, with unsound servers and a store that is restored from copies")
+	cmd.Flags().BoolVar(&long, "long", false, "uploads with long bodies, servers that answer them early or in half, and heartbeats of other writers")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		s := newSoak(&cluster{opt: options{bin: *bin, dir: *dir}}, seed)
 		if deep {
 			s.deep, s.faults = true, append(s.faults, soakDeepFaults...)
 		}
+		if long {
+			s.long, s.faults = true, append(s.faults, soakLongFaults...)
+		}
 		return s.run(cmd.Context(), dur, size)
 	}
 	return cmd
@@ -325,9 +331,13 @@
 
 // send sends one request. A status of 0 means that no complete response arrived.
 func (s *soak) send(ctx context.Context, h *http.Client, to netip.AddrPort, path, id, body string) callResult {
+	return s.sendBody(ctx, h, to, path, id, strings.NewReader(body))
+}
+
+func (s *soak) sendBody(ctx context.Context, h *http.Client, to netip.AddrPort, path, id string, body io.Reader) callResult {
 	ctx, cancel := context.WithTimeout(ctx, soakRequestTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, body)
 	if err != nil {
 		return callResult{}
 	}
@@ -357,8 +367,14 @@
 		if i%3 == 0 {
 			path = "/pay/x"
 		}
-		res := s.send(ctx, h, n.outboundAddr, path, id, "body of "+id)
-		s.checkResult(id, res)
+		var res callResult
+		long := s.long && i%longInterval == longInterval-1
+		if long {
+			res = s.upload(ctx, h, n.outboundAddr, id)
+		} else {
+			res = s.send(ctx, h, n.outboundAddr, path, id, "body of "+id)
+		}
+		s.checkResult(id, expectedBody(id, long), res)
 		if res.status == http.StatusOK {
 			s.recordPassed(n, res.header)
 		}
@@ -366,12 +382,11 @@
 	return nil
 }
 
-// checkResult checks the response to a request and counts it.
-func (s *soak) checkResult(id string, res callResult) {
-	want := responseBody(id, []byte("body of "+id))
+// checkResult checks the response to a request, whose complete body is want, and counts it.
+func (s *soak) checkResult(id, want string, res callResult) {
 	switch {
 	case res.status == http.StatusOK && (res.body != want || res.id != id):
-		s.recordViolation("whole", id, fmt.Sprintf("got %q as %s", res.body, res.id))
+		s.recordViolation("whole", id, fmt.Sprintf("got %q as %s", shortened(res.body), res.id))
 	case res.status == http.StatusNotFound, res.status == http.StatusBadRequest:
 		s.recordViolation("denied", id, fmt.Sprintf("got status %d", res.status))
 	}
--- a/bench/soakapp.go
+++ b/bench/soakapp.go
@@ -42,9 +42,12 @@
 	// refusing is set while the server refuses refuseRatio of its requests; repeating and splitting are
 	// those of its listener.
 	refusing, repeating, splitting atomic.Bool
-	running                        atomic.Int64
-	http                           *http.Client
-	statements                     statements
+	// early is set while the server answers some uploads before it has read them, halving while it breaks
+	// off some responses to them.
+	early, halving atomic.Bool
+	running        atomic.Int64
+	http           *http.Client
+	statements     statements
 
 	// lifecycleMu is held while a fault stops and restarts the server.
 	lifecycleMu  sync.Mutex
@@ -167,6 +170,11 @@
 		return
 	}
 	defer a.running.Add(-1)
+	if r.URL.Path == longPath {
+		a.checkArrival(r, request)
+		a.serveLong(w, r, request)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/bench/soakproxy.go
+++ b/bench/soakproxy.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -159,6 +160,10 @@
 			}
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				// A reset must not look like an ordinary end.
+				resetConn(dst)
+			}
 			return err
 		}
 	}
