--- a/bench/soakproxy.go
+++ b/bench/soakproxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 // proxyMode is the fault that a proxy injects into its connections.
@@ -160,7 +161,7 @@
 			}
 		}
 		if err != nil {
-			if errors.Is(err, syscall.ECONNRESET) {
+			if errors.Is(err, syscall.ECONNRESET) || isClosed(src) {
 				// A reset must not look like an ordinary end.
 				resetConn(dst)
 			}
@@ -169,6 +170,25 @@
 	}
 }
 
+// isClosed reports whether a connection that was read to its end was reset. The error of a reset goes
+// to only one of the goroutines on the connection, which may be the one that writes.
+func isClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && closed
+}
+
 // applyMode waits as long as the mode requires.
 func (d *faultProxy) applyMode(ctx context.Context, isResponse bool) {
 	for ctx.Err() == nil {
