--- a/daemon/endless_test.go
+++ b/daemon/endless_test.go
@@ -204,8 +204,7 @@
 	return resp.StatusCode, err
 }
 
-// Answers without end, and clients that do not read them or upload without end, used up the memory of
-// a daemon or held its connections, and other clients lost their requests.
+// Answers or uploads without end used up the memory or the connections of a daemon.
 func TestBytesWithoutEndExhaustADaemon(t *testing.T) {
 	one := newEndless(t)
 	debug.FreeOSMemory()
--- a/daemon/foreign_test.go
+++ b/daemon/foreign_test.go
@@ -25,8 +25,7 @@
 	return status
 }
 
-// The heartbeat of another writer that named an unknown service displaced the backend server, and its
-// service became the calling service of all requests.
+// A report of an unknown service displaced the backend server and became the calling service.
 func TestHeartbeatOfAnUnknownServiceDisplacesTheServer(t *testing.T) {
 	for _, draining := range []bool{false, true} {
 		_, one, two := newPair(t)
@@ -45,8 +44,7 @@
 	}
 }
 
-// A server may report before the policy that names its service arrives; it must serve as soon as that
-// policy is in force, without another report.
+// A server that reported before the policy that names its service must serve with that policy.
 func TestServerOfAFutureServiceIsForgotten(t *testing.T) {
 	s, one, two := newPair(t)
 	two.setSlots(4)
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -76,8 +76,7 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
-// All crashes of a server that keeps its ID counted as one, so a request that crashes it was never
-// quarantined.
+// A request that crashes a server which keeps its ID was never quarantined.
 func TestCrashesOfAServerThatKeepsItsIDCountAsOne(t *testing.T) {
 	cl := newCluster(t, viewRoute)
 	source := cl.add("dues")
@@ -98,8 +97,7 @@
 	}
 }
 
-// A harmless request that is in flight at each crash was quarantined with the one that crashes the
-// server.
+// A harmless request that is in flight at each crash was quarantined with the cause of the crashes.
 func TestHarmlessRequestQuarantinedWithACrashingOne(t *testing.T) {
 	cl := newCluster(t, viewRoute)
 	source, other := cl.add("dues"), cl.add("other")
--- a/front/early_test.go
+++ b/front/early_test.go
@@ -103,8 +103,7 @@
 	return result{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
 }
 
-// Parts of a body that a server answered early were missing, since net/http had read and dropped them
-// while the rest was being sent.
+// net/http read and dropped parts of a body that was still being sent to a server that answered early.
 func TestPartsOfABodyMissingAfterAnEarlyAnswer(t *testing.T) {
 	for name, size := range map[string]int{"streamed": 400_000, "buffered": 1000} {
 		t.Run(name, func(t *testing.T) {
--- a/httpc/truncated_test.go
+++ b/httpc/truncated_test.go
@@ -81,8 +81,7 @@
 	return io.ReadAll(resp.Stream)
 }
 
-// A response without a length that was reset halfway looked complete, since the goroutine that sent
-// the request had received the error of the connection.
+// A reset response without a length looked complete if the sender of the request got the error.
 func TestHalfAnswerLooksComplete(t *testing.T) {
 	for name, buffer := range map[string]int64{"buffered": maxBuffer, "streamed": 0} {
 		t.Run(name, func(t *testing.T) {
@@ -134,8 +133,7 @@
 	}
 }
 
-// A server ends its response while the caller still uploads, and the caller stalls: the exchange must
-// not outlast its deadline.
+// A caller that stalled in its upload held an exchange whose server had ended the response.
 func TestStalledUploadOutlastsTheDeadline(t *testing.T) {
 	addr := serveConns(t, func(c *net.TCPConn) {
 		readHead(c)
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -62,8 +62,7 @@
 	}
 }
 
-// Each request whose response was lost records the crash for all; a request that was recorded by two of
-// them at once counted as one of several suspects.
+// The only suspect of a crash that two lost requests recorded at once counted as one of several.
 func TestCrashRecordedTwiceAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	inflight := []poison.Request{{Fingerprint: 1}, {Fingerprint: 2}}
--- a/seed/islands_test.go
+++ b/seed/islands_test.go
@@ -283,8 +283,7 @@
 	}, n)
 }
 
-// Daemons whose membership split in any way must find each other: starts, kills, cuts and losses of
-// the platform in random order.
+// Random starts, kills, cuts and losses of the platform left parts that did not find each other.
 func TestMembershipStaysSplitAfterFaults(t *testing.T) {
 	for s := range uint64(40) {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
