--- a/seed/islands_test.go
+++ b/seed/islands_test.go
@@ -73,10 +73,12 @@
 	f.starts++
 	d := &fleetDaemon{fleet: f, id: fmt.Sprintf("d%02d", i), addr: fleetAddr(i), zone: fmt.Sprint("z", i%fleetZones), in: make(chan []byte, 256), closed: make(chan struct{})}
 	self := &sycapb.MemberEntry{Id: d.id, Incarnation: f.starts, Zone: d.zone, Region: "r", Addr: d.addr.String()}
-	f.daemons[d.addr] = d
 	f.mu.Unlock()
 	d.node = member.New(member.Config{Self: self, ProbeInterval: time.Second, Now: time.Now, Revision: func() uint64 { return 0 }, Exchange: d.exchange},
 		member.Conn{Read: d.read, Write: d.write, Close: func() error { close(d.closed); return nil }})
+	f.mu.Lock()
+	f.daemons[d.addr] = d
+	f.mu.Unlock()
 	finder := seed.New(seed.Config{
 		Bootstrap: bootstrap, SeedsPerZone: perZone,
 		ZoneRank: d.rank, ZoneSize: d.zoneSize, MemberCount: d.node.Len, IsLive: d.isLive,
