daemon, seed: tests of store calls count the scans for seeds apart

They check what they did, for all calls but stale reads, which only the scan makes. The cost of the scans is checked apart: TestScansCostMoreInALargerFleet.

--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -107,7 +107,7 @@
 	fault atomic.Pointer[http.HandlerFunc]
 	// log holds the log entries of the latest process.
 	log atomic.Pointer[logtest.Hook]
-	// storeCalls counts the calls to the store.
+	// storeCalls counts the calls to the store but for stale reads, which only the scans for seeds make.
 	storeCalls atomic.Int64
 	// lastStoreCall is the path of the last one.
 	lastStoreCall atomic.Pointer[string]
@@ -195,8 +195,10 @@
 		if n.partitioned.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		n.storeCalls.Add(1)
-		n.lastStoreCall.Store(&r.URL.Path)
+		if r.URL.Query().Get("is_stale") != "1" {
+			n.storeCalls.Add(1)
+			n.lastStoreCall.Store(&r.URL.Path)
+		}
 		before := s.silence.Load()
 		response := httptest.NewRecorder()
 		storeHandler.ServeHTTP(response, r)
--- a/seed/seed_test.go
+++ b/seed/seed_test.go
@@ -330,6 +330,28 @@
 	}
 }
 
+// Scans for unknown daemons must not cost more with more daemons.
+func TestScansCostMoreInALargerFleet(t *testing.T) {
+	for _, n := range []int{15, 100, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			simulate(t, func(t *testing.T, s *simulation, g *errgroup.Group) {
+				const zones, minutes = 5, 2
+				for i := range n {
+					s.start(g, i, zones, true)
+				}
+				time.Sleep(10 * time.Second)
+				before := s.totalCost()
+				time.Sleep(minutes * time.Minute)
+				// A stale list costs a tenth, and so does the renewal of a seed; 3 s and 10 s are their intervals.
+				expected := float64(zones*minutes*20+perZone*zones*minutes*6) / 10
+				if cost := s.totalCost() - before; cost > 1.5*expected {
+					t.Errorf("%d daemons cost %.1f calls, expected %.1f", n, cost, expected)
+				}
+			})
+		})
+	}
+}
+
 // All daemons are killed at once and restart while their seeds are still stored.
 func TestRestartOfWholeFleet(t *testing.T) {
 	simulate(t, func(t *testing.T, s *simulation, g *errgroup.Group) {
