httpc, front, daemon: logs show what a response of the backend server rests on

Callers saw requests that had been refused run, and requests that must run once run twice; the logs of such a run say only `outcome=refused ran_ms=57`. The line of a run now has the number of requests that its connection carried before, of responses to others that came first, what states that it did not run, with the value of the mark, and the fields that occur twice. Bytes that belong to no request are logged and counted by place. No decision changes.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -91,7 +91,7 @@
 	d.serverDown.Store(true)
 	d.serverTracker = life.New(d.cfg.ServerAddr, time.Now, d.serverChanged)
 	d.peerPool = httpc.New(httpc.Config{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdleConns: maxIdlePeerConns, CoreIdleConns: corePeerConns, ExcessIdleTimeout: excessIdleTimeout, Now: time.Now})
-	d.serverPool = httpc.New(httpc.Config{DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns, Now: time.Now})
+	d.serverPool = httpc.New(httpc.Config{DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns, OnStray: d.recordStray, Now: time.Now})
 	d.front = front.New(front.Config{
 		Self:            d.cfg.ID,
 		Incarnation:     d.incarnation,
@@ -274,6 +274,12 @@
 	d.front.ObserveServer(front.Observation{Server: d.serverTracker.Server(), Header: resp.Header, SentAt: sentAt})
 }
 
+// recordStray logs and counts bytes of the backend server that belong to no request.
+func (d *Daemon) recordStray(s httpc.Stray) {
+	d.stats.Stray(string(s.Place))
+	d.log.WithFields(logrus.Fields{"place": s.Place, "carried": s.Carried, "instance": d.serverTracker.Server().Instance}).Warn("backend server sent bytes that belong to no request")
+}
+
 // closeFront shuts down all HTTP servers gracefully: a request may have arrived
 // after the last check for requests in flight, and gets its response first.
 func (d *Daemon) closeFront(ctx context.Context) {
--- a/front/accesslog.go
+++ b/front/accesslog.go
@@ -83,6 +83,18 @@
 	if e := a.deadlineErr; e != nil {
 		p.Millis("left_ms", e.Remaining).Millis("required_ms", e.Required).Int("samples", int64(e.Runs)).Millis("sample_age_ms", e.Age)
 	}
+	if e := a.evidence; e != nil {
+		p.Int("carried", int64(e.carried))
+		if e.discarded > 0 {
+			p.Int("discarded", int64(e.discarded))
+		}
+		if e.proof != "" {
+			p.Text("proof", e.proof).Text("mark", e.mark)
+		}
+		if len(e.repeated) > 0 {
+			p.Text("repeated", strings.Join(e.repeated, ","))
+		}
+	}
 	p.Info(f.Log, "run")
 }
 
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -181,13 +181,25 @@
 	}
 	h := resp.Header
 	id := h.Get(f.Headers.RequestID)
-	signed := h.Get(f.Headers.Signature) != ""
 	notRun := h.Get(f.Headers.NotRun) != ""
 	if id == r.id {
 		f.ObserveServer(Observation{Server: s, Header: h, SentAt: sentAt, Ran: !notRun && resp.Status != http.StatusMisdirectedRequest})
 	}
+	e := f.evidenceOf(resp)
 	// The first refusal on a connection need not name its request.
-	named := id == r.id || id == "" && !resp.Reused
+	named := id == r.id || id == "" && resp.Carried == 0
+	answer, result := f.judge(r, s, resp, named)
+	answer.evidence = e
+	return answer, result
+}
+
+// judge decides what a response of the backend server says of a request. named is set if the response
+// is one to this request.
+func (f *Front) judge(r *request, s life.Server, resp *httpc.Response, named bool) (*response, admit.RunResult) {
+	h := resp.Header
+	id := h.Get(f.Headers.RequestID)
+	signed := h.Get(f.Headers.Signature) != ""
+	notRun := h.Get(f.Headers.NotRun) != ""
 	switch {
 	case named && resp.Status == http.StatusMisdirectedRequest:
 		resp.Close()
@@ -228,6 +240,23 @@
 	}, admit.Completed
 }
 
+// evidenceOf returns what the meaning of a response of the backend server rests on.
+func (f *Front) evidenceOf(resp *httpc.Response) *evidence {
+	e := &evidence{carried: resp.Carried, discarded: resp.Discarded, mark: resp.Header.Get(f.Headers.NotRun)}
+	for _, name := range []string{f.Headers.RequestID, f.Headers.Signature, f.Headers.NotRun, f.Headers.Load, f.Headers.Limit, f.Headers.Leaving} {
+		if len(resp.Header.Values(name)) > 1 {
+			e.repeated = append(e.repeated, name)
+		}
+	}
+	switch {
+	case e.mark != "":
+		e.proof = "mark"
+	case resp.Status == http.StatusMisdirectedRequest:
+		e.proof = "421"
+	}
+	return e
+}
+
 // meansNotRun reports whether callers take a status as a promise that the request did not run.
 func meansNotRun(status int) bool {
 	switch status {
@@ -305,7 +334,12 @@
 	case ctx.Err() != nil:
 		return unknownResponse(reasonCanceled), admit.NoResponse
 	}
-	f.Log.WithFields(f.logFields(r)).WithField("err", err).Warn("answer of the backend server lost")
+	carried := 0
+	var noResponse *httpc.NoResponseError
+	if errors.As(err, &noResponse) {
+		carried = noResponse.Carried
+	}
+	f.Log.WithFields(f.logFields(r)).WithFields(logrus.Fields{"err": err, "carried": carried}).Warn("answer of the backend server lost")
 	if f.serverCrashed(ctx, s) {
 		return &response{outcome: unknown, reason: reasonCrash, crash: f.recordCrash(r, s)}, admit.NoResponse
 	}
--- a/front/response.go
+++ b/front/response.go
@@ -68,6 +68,8 @@
 	queueTime, runTime time.Duration
 	// crash identifies a crash of the backend server among those that the instance recorded.
 	crash string
+	// evidence is what the response of the backend server rests on, nil if there was none.
+	evidence *evidence
 	// deadlineErr is why the gate of this instance rejected the request as too late, nil if it did not.
 	deadlineErr *admit.DeadlineError
 }
@@ -85,6 +87,19 @@
 	running, queued, limit int
 }
 
+// evidence is what the meaning of a response of the backend server rests on.
+type evidence struct {
+	// carried is the number of requests that the connection carried before, discarded that of the
+	// responses to other requests before this one.
+	carried, discarded int
+	// proof is what states that the request did not run: "mark" or "421", empty if nothing does.
+	proof string
+	// mark is the value of the mark.
+	mark string
+	// repeated names the fields that decide something and occur more than once.
+	repeated []string
+}
+
 func notRunResponse(reason string) *response {
 	return &response{outcome: notRun, reason: reason}
 }
--- a/httpc/conn.go
+++ b/httpc/conn.go
@@ -46,11 +46,11 @@
 	// idleSince is the end of the last response.
 	idleSince   time.Time
 	idleTimeout time.Duration
-	reused      bool
-	// rawConn gives peek access to the socket. noData is the result of peek: the connection is open and
-	// has no bytes to read.
+	// carried is the number of requests that the connection carried before.
+	carried int
+	// rawConn gives peek access to the socket. peeked is the result of peek.
 	rawConn syscall.RawConn
-	noData  bool
+	peeked  peekResult
 	// rejected is a ring of the keys of the latest requests that were rejected on the connection; next
 	// is the index of the oldest one once it is full.
 	rejected []uint64
@@ -109,20 +109,41 @@
 	return opt
 }
 
-// alive reports whether an idle connection is open and has nothing to read. Bytes that arrive
-// without a pending request can't be matched to any request.
-func (c *conn) alive() bool {
+// peekResult is what an idle connection has to read.
+type peekResult int
+
+const (
+	// peekNothing means that the connection is open and has nothing to read.
+	peekNothing peekResult = iota
+	// peekBytes means that bytes arrived without a pending request.
+	peekBytes
+	// peekEnd means that the connection has ended or failed.
+	peekEnd
+)
+
+// check returns what an idle connection has to read.
+func (c *conn) check() peekResult {
 	if c.br.Buffered() > 0 {
-		return false
+		return peekBytes
+	}
+	if c.rawConn.Read(c.peek) != nil {
+		return peekEnd
 	}
-	return c.rawConn.Read(c.peek) == nil && c.noData
+	return c.peeked
 }
 
 // peek checks the socket for bytes or EOF without consuming them.
 func (c *conn) peek(fd uintptr) bool {
 	var b [1]byte
-	_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	c.noData = errors.Is(err, unix.EAGAIN)
+	n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		c.peeked = peekNothing
+	case err == nil && n > 0:
+		c.peeked = peekBytes
+	default:
+		c.peeked = peekEnd
+	}
 	return true
 }
 
--- a/httpc/mismatch.go
+++ b/httpc/mismatch.go
@@ -30,7 +30,7 @@
 }
 
 func (x *exchange) isMismatch(resp *http.Response) bool {
-	return x.req.IsMismatch != nil && x.req.IsMismatch(resp.Header, x.c.reused)
+	return x.req.IsMismatch != nil && x.req.IsMismatch(resp.Header, x.c.carried > 0)
 }
 
 // skipMismatched discards responses to other requests until the matching one arrives. A server may
@@ -42,6 +42,7 @@
 	}
 	for {
 		x.mismatches++
+		x.reportStray(StrayBefore)
 		if x.mismatches > maxMismatches {
 			return nil, &MismatchError{Discarded: x.mismatches, Err: errors.New("too many mismatched responses")}
 		}
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -41,6 +41,8 @@
 	// MaxHeaderBytes limits the header of a response, including those of interim responses before it;
 	// 0 means DefaultMaxHeaderBytes.
 	MaxHeaderBytes int64
+	// OnStray, if set, is called when a server has sent bytes that belong to no request.
+	OnStray func(Stray)
 	// Now returns the current time.
 	Now func() time.Time
 }
@@ -68,9 +70,9 @@
 // NoResponseError reports a request without a usable response; the server may have run it.
 type NoResponseError struct {
 	Addr netip.AddrPort
-	// Reused is set if the connection had carried requests before.
-	Reused bool
-	Err    error
+	// Carried is the number of requests that the connection carried before.
+	Carried int
+	Err     error
 }
 
 func (e *NoResponseError) Error() string {
@@ -112,11 +114,11 @@
 			return nil
 		}
 		idle := p.cfg.Now().Sub(c.idleSince)
-		if idle <= min(c.idleTimeout, maxIdle) && c.alive() {
-			c.reused = true
+		usable := idle <= c.idleTimeout && p.isClean(c)
+		if usable && idle <= maxIdle {
 			return c
 		}
-		if idle <= c.idleTimeout && idle > maxIdle && c.alive() {
+		if usable {
 			// The connection can still carry an idempotent request.
 			p.putIdle(c)
 			return nil
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -67,8 +67,10 @@
 	Stream io.Reader
 	// Length is the announced length of the body, below 0 if none was announced.
 	Length int64
-	// Reused is set if the connection had carried requests before.
-	Reused bool
+	// Carried is the number of requests that the connection carried before.
+	Carried int
+	// Discarded is the number of responses to other requests that arrived before this one.
+	Discarded int
 
 	close func()
 }
@@ -131,7 +133,7 @@
 			err = ctx.Err()
 		}
 		x.abort()
-		return nil, &NoResponseError{Addr: addr, Reused: c.reused, Err: err}
+		return nil, &NoResponseError{Addr: addr, Carried: c.carried, Err: err}
 	}
 	return resp, nil
 }
@@ -250,7 +252,7 @@
 
 // readBody reads a body of up to MaxBuffer bytes. It leaves a longer one to the caller.
 func (x *exchange) readBody(resp *http.Response) (*Response, error) {
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: x.c.reused}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Carried: x.c.carried, Discarded: x.mismatches}
 	// Parse the header now, as the caller may modify it before the exchange ends.
 	x.c.idleTimeout = parseIdleTimeout(resp.Header, x.p.cfg.IdleTimeout)
 	if resp.ContentLength > x.req.MaxBuffer {
@@ -310,10 +312,14 @@
 // response are complete, no response was mismatched, no further bytes arrived and neither side ends
 // the connection. Otherwise it closes the connection.
 func (x *exchange) release(resp *http.Response, complete bool) {
+	if complete && x.c.br.Buffered() > 0 {
+		x.reportStray(StrayAfter)
+	}
 	if !x.stop() || x.mismatches > 0 || !complete || !x.sentAll || resp.Close || isCloseDelimited(resp) || x.c.br.Buffered() > 0 {
 		x.abort()
 		return
 	}
+	x.c.carried++
 	x.c.idleSince = x.p.cfg.Now()
 	x.p.putIdle(x.c)
 }
--- /dev/null
+++ b/httpc/stray.go
@@ -0,0 +1,44 @@
+package httpc
+
+import "net/netip"
+
+// StrayPlace is where bytes that belong to no request were found.
+type StrayPlace string
+
+const (
+	// StrayIdle means that the bytes arrived on an idle connection.
+	StrayIdle StrayPlace = "idle"
+	// StrayBefore means that a response to another request arrived where a response was due.
+	StrayBefore StrayPlace = "before"
+	// StrayAfter means that the bytes followed a response.
+	StrayAfter StrayPlace = "after"
+)
+
+// Stray describes bytes from a server that belong to no request. A faulty server sends them after a
+// complete response, at once or when the connection carries another request.
+type Stray struct {
+	Addr  netip.AddrPort
+	Place StrayPlace
+	// Carried is the number of requests that the connection carried before.
+	Carried int
+}
+
+func (x *exchange) reportStray(place StrayPlace) {
+	x.p.reportStray(x.c, place)
+}
+
+func (p *Pool) reportStray(c *conn, place StrayPlace) {
+	if p.cfg.OnStray != nil {
+		p.cfg.OnStray(Stray{Addr: c.addr, Place: place, Carried: c.carried})
+	}
+}
+
+// isClean reports whether an idle connection is open and has nothing to read. Bytes that arrive
+// without a pending request can't be matched to any request.
+func (p *Pool) isClean(c *conn) bool {
+	found := c.check()
+	if found == peekBytes {
+		p.reportStray(c, StrayIdle)
+	}
+	return found == peekNothing
+}
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -82,6 +82,11 @@
 	s.observe("run.us", runTime)
 }
 
+// Stray counts bytes of the backend server that belong to no request, by where they were found.
+func (s *Set) Stray(place string) {
+	s.inc("server.stray." + place)
+}
+
 // RetryDenied counts a retry that was not sent because the retry budget was exhausted.
 func (s *Set) RetryDenied() {
 	s.inc("egress.retry_denied")
