front: failing tests of responses whose bytes belong to two

A part of an earlier refusal in front of the next response made a non-idempotent request run 8 times and be answered 503; a part of an earlier success made a failure of the server a success. An unnamed refusal after a response to another request on a new connection did the same.

--- /dev/null
+++ b/front/splice_test.go
@@ -0,0 +1,99 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// strays are responses to an earlier request, of which a faulty server writes a part once more.
+var strays = map[string]string{
+	"refusal, mark first": "HTTP/1.1 503 Service Unavailable\r\nT-Not-Run: 1\r\nT-Load: 3,0,8\r\nT-Request: earlier\r\nContent-Length: 0\r\n\r\n",
+	"refusal, mark last":  "HTTP/1.1 429 X\r\nContent-Length: 2\r\nT-Load: 3,0,8\r\nT-Request: earlier\r\nT-Not-Run: 1\r\n\r\nno",
+	"refusal, no ID":      "HTTP/1.1 503 X\r\nT-Not-Run: 1\r\nTrailer: T-Other\r\nContent-Length: 0\r\n\r\n",
+	"misdirected":         "HTTP/1.1 421 Misdirected Request\r\nT-Request: earlier\r\nContent-Length: 0\r\n\r\n",
+	"success":             "HTTP/1.1 200 OK\r\nT-Signature: s\r\nT-Request: earlier\r\nContent-Length: 4\r\n\r\nbody",
+	"interim":             "HTTP/1.1 100 Continue\r\nT-Not-Run: 1\r\n\r\n",
+}
+
+// runAnswers are responses to a request that ran, without its ID.
+var runAnswers = map[string]string{
+	"success": "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: 4\r\n\r\ndone",
+	"chunks":  "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+	"failure": "HTTP/1.1 500 Internal Server Error\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: 4\r\n\r\nfail",
+}
+
+// A part of an earlier response, followed by the next one, was read as a response of its own.
+func TestSplicedResponseIsBelieved(t *testing.T) {
+	for strayName, stray := range strays {
+		for answerName, answer := range runAnswers {
+			t.Run(strayName+" before "+answerName, func(t *testing.T) {
+				t.Parallel()
+				testSplices(t, stray, answer)
+			})
+		}
+	}
+}
+
+// testSplices tries all beginnings and ends of the stray bytes in front of an answer.
+func testSplices(t *testing.T, stray, answer string) {
+	route := payRoute
+	route.Timeout = 60 * time.Millisecond
+	cl := newCluster(t, viewRoute, route)
+	source, target := cl.add("dues"), cl.add("plots")
+	var part string
+	var ran atomic.Int64
+	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.URL.Path, "/view/") {
+			return respondOK(w, r, body)
+		}
+		ran.Add(1)
+		_, _ = fmt.Fprintf(w, "%s"+answer, part, r.Header.Get(testHeaders.RequestID))
+		return true
+	})
+	check := func(begin, end int) {
+		part = stray[begin:end]
+		ran.Store(0)
+		// The connection has carried a request then.
+		if got := source.request("GET", "/view/x", "v", ""); got.status != 200 {
+			t.Fatalf("view: %+v", got)
+		}
+		got := source.request("POST", "/pay/x", fmt.Sprintf("p%d-%d", begin, end), "x")
+		switch {
+		case ran.Load() > 1:
+			t.Errorf("%q: ran %d times", part, ran.Load())
+		case got.status == 429 || got.status == 503 || got.status == 408 || got.status == 421:
+			t.Errorf("%q: ran and was reported as not run by status %d", part, got.status)
+		case got.status == 200 && (got.body != "done" || !strings.HasPrefix(answer, "HTTP/1.1 200 ")):
+			t.Errorf("%q: got status %d and body %q", part, got.status, got.body)
+		case got.status == 500 && got.body != "fail":
+			t.Errorf("%q: got status %d and body %q", part, got.status, got.body)
+		}
+	}
+	for n := range len(stray) + 1 {
+		check(0, n)
+		check(n, len(stray))
+	}
+}
+
+// A refusal without an ID was believed after a response to another request on a new connection.
+func TestUnnamedRefusalAfterAnotherResponseIsBelieved(t *testing.T) {
+	cl := newCluster(t, payRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	var ran atomic.Int64
+	target.setHandler(func(w net.Conn, _ *http.Request, _ string) bool {
+		ran.Add(1)
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nT-Request: stranger\r\nT-Signature: s\r\nContent-Length: 0\r\n\r\n")
+		refuse(w, "")
+		return true
+	})
+	got := source.request("POST", "/pay/x", "p", "x")
+	if got.status != 502 && got.status != 504 || ran.Load() != 1 {
+		t.Errorf("ran %d times, response %+v", ran.Load(), got)
+	}
+}
