front, httpc: only the first response on a connection may omit its ID

Callers saw 503 for a request that had run, up to eight times: a server answered with another request's ID and then wrote a refusal without one. On a new connection an unnamed refusal was believed, also after a response that had been discarded as a mismatch. It is believed now only if nothing came before it on its connection.

Ruled out: the entry's retries, which follow the ingress's word.

--- a/front/ingress.go
+++ b/front/ingress.go
@@ -186,8 +186,8 @@
 		f.ObserveServer(Observation{Server: s, Header: h, SentAt: sentAt, Ran: !notRun && resp.Status != http.StatusMisdirectedRequest})
 	}
 	e := f.evidenceOf(resp)
-	// The first refusal on a connection need not name its request.
-	named := id == r.id || id == "" && resp.Carried == 0
+	// The first response on a connection need not name its request.
+	named := id == r.id || id == "" && resp.Carried == 0 && resp.Discarded == 0
 	answer, result := f.judge(r, s, resp, named)
 	answer.evidence = e
 	return answer, result
@@ -295,10 +295,10 @@
 		MaxBuffer: maxBufferedResponse,
 	}
 	r.setStream(req)
-	req.IsMismatch = func(h http.Header, reused bool) bool {
+	req.IsMismatch = func(h http.Header, first bool) bool {
 		id := h.Get(f.Headers.RequestID)
-		// A refusal that names no request may be of an earlier one.
-		return id != r.id && (id != "" || reused && h.Get(f.Headers.NotRun) != "")
+		// A refusal that names no request may be of another one.
+		return id != r.id && (id != "" || !first && h.Get(f.Headers.NotRun) != "")
 	}
 	req.Key = xxhash.Sum64String(r.id)
 	req.IsRejection = func(h http.Header) bool { return h.Get(f.Headers.NotRun) != "" }
--- a/httpc/mismatch.go
+++ b/httpc/mismatch.go
@@ -30,7 +30,7 @@
 }
 
 func (x *exchange) isMismatch(resp *http.Response) bool {
-	return x.req.IsMismatch != nil && x.req.IsMismatch(resp.Header, x.c.carried > 0)
+	return x.req.IsMismatch != nil && x.req.IsMismatch(resp.Header, x.c.carried == 0 && x.mismatches == 0)
 }
 
 // skipMismatched discards responses to other requests until the matching one arrives. A server may
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -44,9 +44,9 @@
 	// Response.Stream; with 0, all are.
 	MaxBuffer int64
 	// IsMismatch, if set, reports by its header whether a response belongs to another request. Such a
-	// response is discarded, and Do waits for the matching one on the same connection. reused is set
-	// if the connection has carried other requests.
-	IsMismatch func(h http.Header, reused bool) bool
+	// response is discarded, and Do waits for the matching one on the same connection. first is set if
+	// it is the first response on its connection.
+	IsMismatch func(h http.Header, first bool) bool
 	// MismatchTimeout limits that wait; with 0, only the context does.
 	MismatchTimeout time.Duration
 }
