httpc, front: a response header must be that of one response

Callers saw 503 for requests that had run, non-idempotent requests ran up to eight times, and failures of a server came back as 200 with the failure's body. A faulty server wrote a part of an earlier response where the next one was due. The parser read on into the next response, so that one parsed response had the status and the mark of one and the ID and the rest of the other; each check looks at one field and passed.

httpc now looks at the whole header before it is parsed: one with a second status line is an error, and so is one in which a field occurs twice that decides something. That holds for any bytes in front of a response, since the status line of the response that is due then stands inside the header. What was discarded by the parser (Content-Length beside chunks, Trailer) can't hide it. A mark beside a status of success states nothing.

Its server now writes stray bytes only on connections that have carried a request, as the platform's protocol says of them; an unnamed refusal as the first bytes of a connection is legitimate. It counts the run before it writes, so that a run is not counted for the next case.

Ruled out: that a connection's bytes reach another connection's request, and resends by httpc: each of the eight runs has a line of its own with outcome=refused.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -91,7 +91,10 @@
 	d.serverDown.Store(true)
 	d.serverTracker = life.New(d.cfg.ServerAddr, time.Now, d.serverChanged)
 	d.peerPool = httpc.New(httpc.Config{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdleConns: maxIdlePeerConns, CoreIdleConns: corePeerConns, ExcessIdleTimeout: excessIdleTimeout, Now: time.Now})
-	d.serverPool = httpc.New(httpc.Config{DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns, OnStray: d.recordStray, Now: time.Now})
+	d.serverPool = httpc.New(httpc.Config{
+		DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns,
+		SingleFields: d.adapter.Headers.Single(), OnStray: d.recordStray, Now: time.Now,
+	})
 	d.front = front.New(front.Config{
 		Self:            d.cfg.ID,
 		Incarnation:     d.incarnation,
--- a/front/accesslog.go
+++ b/front/accesslog.go
@@ -91,9 +91,6 @@
 		if e.proof != "" {
 			p.Text("proof", e.proof).Text("mark", e.mark)
 		}
-		if len(e.repeated) > 0 {
-			p.Text("repeated", strings.Join(e.repeated, ","))
-		}
 	}
 	p.Info(f.Log, "run")
 }
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -257,7 +257,7 @@
 		Stopping: i.stopping.Load, Closing: func() bool { return false }, Ending: func() bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
 		Quarantine: poison.New(time.Now, func(*sycapb.PoisonEntry) {}),
 		PeerPool:   httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, Now: time.Now}),
-		ServerPool: httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, Now: time.Now}),
+		ServerPool: httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, SingleFields: testHeaders.Single(), Now: time.Now}),
 		Stats:      stats.New(), Log: logrus.NewEntry(log), Now: time.Now,
 	})
 	i.outbound = c.serve(i.Outbound())
--- a/front/front.go
+++ b/front/front.go
@@ -65,6 +65,11 @@
 	Leaving string
 }
 
+// Single returns the fields that occur at most once in a response of a backend server, in canonical form.
+func (h Headers) Single() []string {
+	return []string{h.RequestID, h.Signature, h.NotRun, h.Load, h.Instance, h.Limit, h.Leaving}
+}
+
 // Config configures a Front.
 type Config struct {
 	// Self is the ID of this instance, Incarnation the start time of this process.
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -205,7 +205,7 @@
 		resp.Close()
 		f.OnServerDown(s.Instance)
 		return notRunResponse(reasonMoved), admit.NoResponse
-	case named && notRun:
+	case named && notRun && resp.Status >= http.StatusBadRequest:
 		resp.Close()
 		if !r.route.Idempotent {
 			f.refusals.add(r.id)
@@ -214,7 +214,7 @@
 			return notRunResponse(reasonRejected), admit.RejectedWithCapacity
 		}
 		return notRunResponse(reasonRejected), admit.Rejected
-	case id != r.id, resp.Status < http.StatusMultipleChoices && !signed:
+	case id != r.id, notRun, resp.Status < http.StatusMultipleChoices && !signed:
 		resp.Close()
 		f.Log.WithFields(f.logFields(r)).WithFields(logrus.Fields{"got": id, "status": resp.Status, "signed": signed}).Warn("response does not match the request")
 		return unknownResponse(reasonLost), admit.NoResponse
@@ -243,11 +243,6 @@
 // evidenceOf returns what the meaning of a response of the backend server rests on.
 func (f *Front) evidenceOf(resp *httpc.Response) *evidence {
 	e := &evidence{carried: resp.Carried, discarded: resp.Discarded, mark: resp.Header.Get(f.Headers.NotRun)}
-	for _, name := range []string{f.Headers.RequestID, f.Headers.Signature, f.Headers.NotRun, f.Headers.Load, f.Headers.Limit, f.Headers.Leaving} {
-		if len(resp.Header.Values(name)) > 1 {
-			e.repeated = append(e.repeated, name)
-		}
-	}
 	switch {
 	case e.mark != "":
 		e.proof = "mark"
--- a/front/response.go
+++ b/front/response.go
@@ -96,8 +96,6 @@
 	proof string
 	// mark is the value of the mark.
 	mark string
-	// repeated names the fields that decide something and occur more than once.
-	repeated []string
 }
 
 func notRunResponse(reason string) *response {
--- a/front/splice_test.go
+++ b/front/splice_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,21 +49,26 @@
 	source, target := cl.add("dues"), cl.add("plots")
 	var part string
 	var ran atomic.Int64
+	var used sync.Map
 	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
 		if strings.HasPrefix(r.URL.Path, "/view/") {
+			used.Store(w, true)
 			return respondOK(w, r, body)
 		}
 		ran.Add(1)
-		_, _ = fmt.Fprintf(w, "%s"+answer, part, r.Header.Get(testHeaders.RequestID))
+		if _, again := used.LoadOrStore(w, true); again {
+			_, _ = io.WriteString(w, part)
+		}
+		_, _ = fmt.Fprintf(w, answer, r.Header.Get(testHeaders.RequestID))
 		return true
 	})
 	check := func(begin, end int) {
-		part = stray[begin:end]
 		ran.Store(0)
 		// The connection has carried a request then.
 		if got := source.request("GET", "/view/x", "v", ""); got.status != 200 {
 			t.Fatalf("view: %+v", got)
 		}
+		part = stray[begin:end]
 		got := source.request("POST", "/pay/x", fmt.Sprintf("p%d-%d", begin, end), "x")
 		switch {
 		case ran.Load() > 1:
--- a/httpc/conn.go
+++ b/httpc/conn.go
@@ -39,10 +39,9 @@
 
 // conn is a connection; it carries one request at a time.
 type conn struct {
-	nc      net.Conn
-	limiter *headerLimiter
-	br      *bufio.Reader
-	addr    netip.AddrPort
+	nc   net.Conn
+	br   *bufio.Reader
+	addr netip.AddrPort
 	// idleSince is the end of the last response.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -93,8 +92,7 @@
 		_ = nc.Close()
 		return nil, &DialError{Addr: addr, Err: err}
 	}
-	limiter := &headerLimiter{r: nc, remaining: unlimited}
-	return &conn{nc: nc, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), addr: addr, idleTimeout: p.cfg.IdleTimeout, rawConn: rawConn}, nil
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr, idleTimeout: p.cfg.IdleTimeout, rawConn: rawConn}, nil
 }
 
 // setUserTimeout makes the kernel close a connection whose peer does not acknowledge sent bytes.
--- a/httpc/mismatch.go
+++ b/httpc/mismatch.go
@@ -42,7 +42,7 @@
 	}
 	for {
 		x.mismatches++
-		x.reportStray(StrayBefore)
+		x.p.recordStray(x.c, StrayBefore)
 		if x.mismatches > maxMismatches {
 			return nil, &MismatchError{Discarded: x.mismatches, Err: errors.New("too many mismatched responses")}
 		}
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -41,6 +41,8 @@
 	// MaxHeaderBytes limits the header of a response, including those of interim responses before it;
 	// 0 means DefaultMaxHeaderBytes.
 	MaxHeaderBytes int64
+	// SingleFields lists the header fields, in canonical form, that occur at most once in a response.
+	SingleFields []string
 	// OnStray, if set, is called when a server has sent bytes that belong to no request.
 	OnStray func(Stray)
 	// Now returns the current time.
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -232,14 +232,14 @@
 
 // readHeader reads the header of the final response and skips interim responses.
 func (x *exchange) readHeader() (*http.Response, error) {
-	x.c.limiter.start(x.p.cfg.MaxHeaderBytes)
-	defer x.c.limiter.stop()
 	req := &http.Request{Method: x.req.Method}
+	limit := x.p.cfg.MaxHeaderBytes
 	for range maxInterimResponses {
-		resp, err := http.ReadResponse(x.c.br, req)
+		resp, n, err := x.nextResponse(req, limit)
 		if err != nil {
 			return nil, err
 		}
+		limit -= n
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -313,12 +313,15 @@
 // the connection. Otherwise it closes the connection.
 func (x *exchange) release(resp *http.Response, complete bool) {
 	if complete && x.c.br.Buffered() > 0 {
-		x.reportStray(StrayAfter)
+		x.p.recordStray(x.c, StrayAfter)
 	}
 	if !x.stop() || x.mismatches > 0 || !complete || !x.sentAll || resp.Close || isCloseDelimited(resp) || x.c.br.Buffered() > 0 {
 		x.abort()
 		return
 	}
+	if x.c.br.Size() > readBufferSize {
+		x.c.setReadBuffer(readBufferSize)
+	}
 	x.c.carried++
 	x.c.idleSince = x.p.cfg.Now()
 	x.p.putIdle(x.c)
--- a/httpc/stray.go
+++ b/httpc/stray.go
@@ -10,6 +10,8 @@
 	StrayIdle StrayPlace = "idle"
 	// StrayBefore means that a response to another request arrived where a response was due.
 	StrayBefore StrayPlace = "before"
+	// StrayInside means that a header is that of more than one response.
+	StrayInside StrayPlace = "inside"
 	// StrayAfter means that the bytes followed a response.
 	StrayAfter StrayPlace = "after"
 )
@@ -23,11 +25,8 @@
 	Carried int
 }
 
-func (x *exchange) reportStray(place StrayPlace) {
-	x.p.reportStray(x.c, place)
-}
-
-func (p *Pool) reportStray(c *conn, place StrayPlace) {
+// recordStray records that the server of a connection sent bytes that belong to no request.
+func (p *Pool) recordStray(c *conn, place StrayPlace) {
 	if p.cfg.OnStray != nil {
 		p.cfg.OnStray(Stray{Addr: c.addr, Place: place, Carried: c.carried})
 	}
@@ -38,7 +37,7 @@
 func (p *Pool) isClean(c *conn) bool {
 	found := c.check()
 	if found == peekBytes {
-		p.reportStray(c, StrayIdle)
+		p.recordStray(c, StrayIdle)
 	}
 	return found == peekNothing
 }
