httpc, front, daemon: requests that must run once avoid the used connections of an unsound server

Callers got 502 for a half of their non-idempotent requests at a server that writes parts of earlier responses where the next one is due: the header of two responses is refused, and what the server did stays unknown. Bytes that belong to no request can only arrive on a connection that has carried one. For 30 s after a server sent such bytes, on an idle connection, before, inside or after a response, requests that must run once are sent to it on new connections. Idempotent ones go on using kept connections, which costs a retry and shows whether the server still does it. A server that was replaced starts sound.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -38,6 +38,9 @@
 	excessIdleTimeout = 4 * time.Second
 	// serverIdleTimeout is how long an idle connection to the backend server is kept if the server sets no timeout.
 	serverIdleTimeout = 4 * time.Second
+	// unsoundTime is how long a backend server counts as unsound after bytes that belong to no request. Idempotent
+	// requests go on testing its kept connections.
+	unsoundTime = 30 * time.Second
 	// outboundIdleTimeout is how long an idle connection of a caller is kept.
 	outboundIdleTimeout = 75 * time.Second
 	// maxIdlePeerConns and maxIdleServerConns bound the idle connections to one address.
@@ -93,7 +96,7 @@
 	d.peerPool = httpc.New(httpc.Config{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdleConns: maxIdlePeerConns, CoreIdleConns: corePeerConns, ExcessIdleTimeout: excessIdleTimeout, Now: time.Now})
 	d.serverPool = httpc.New(httpc.Config{
 		DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdleConns: maxIdleServerConns,
-		SingleFields: d.adapter.Headers.Single(), OnStray: d.recordStray, Now: time.Now,
+		SingleFields: d.adapter.Headers.Single(), UnsoundTime: unsoundTime, OnStray: d.recordStray, Now: time.Now,
 	})
 	d.front = front.New(front.Config{
 		Self:            d.cfg.ID,
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -164,6 +164,8 @@
 	discardLogs bool
 	// slots is the number of requests that a backend server runs concurrently.
 	slots int
+	// unsoundTime is how long a backend server counts as unsound.
+	unsoundTime time.Duration
 }
 
 // logLines records the log output.
@@ -195,7 +197,7 @@
 }
 
 func newCluster(t testing.TB, routes ...policy.Route) *cluster {
-	c := &cluster{t: t, probe: func(string) bool { return true }, slots: 8}
+	c := &cluster{t: t, probe: func(string) bool { return true }, slots: 8, unsoundTime: time.Minute}
 	c.setRoutes(routes...)
 	t.Cleanup(func() {
 		for _, f := range c.cleanups {
@@ -257,7 +259,7 @@
 		Stopping: i.stopping.Load, Closing: func() bool { return false }, Ending: func() bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
 		Quarantine: poison.New(time.Now, func(*sycapb.PoisonEntry) {}),
 		PeerPool:   httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, Now: time.Now}),
-		ServerPool: httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, SingleFields: testHeaders.Single(), Now: time.Now}),
+		ServerPool: httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, SingleFields: testHeaders.Single(), UnsoundTime: c.unsoundTime, Now: time.Now}),
 		Stats:      stats.New(), Log: logrus.NewEntry(log), Now: time.Now,
 	})
 	i.outbound = c.serve(i.Outbound())
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -302,6 +302,7 @@
 		req.MaxIdleTime = maxIdleNonIdempotent
 		// The request can't be sent elsewhere, so it waits until its deadline.
 		req.MismatchTimeout = 0
+		req.Once = true
 		req.NewConn = f.refusals.contains(r.id)
 	}
 	return req
--- a/front/splice_test.go
+++ b/front/splice_test.go
@@ -46,6 +46,8 @@
 	route := payRoute
 	route.Timeout = 60 * time.Millisecond
 	cl := newCluster(t, viewRoute, route)
+	// Requests go on using connections that have carried others.
+	cl.unsoundTime = 0
 	source, target := cl.add("dues"), cl.add("plots")
 	var part string
 	var ran atomic.Int64
@@ -103,3 +105,25 @@
 		t.Errorf("ran %d times, response %+v", ran.Load(), got)
 	}
 }
+
+// Requests that must run once ended with 502 at a server that writes parts of earlier responses.
+func TestUnsoundServerLosesNonIdempotentRequests(t *testing.T) {
+	cl := newCluster(t, payRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	var used sync.Map
+	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+		if _, again := used.LoadOrStore(w, true); again {
+			_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nT-Not-Run: 1\r\nT-Lo")
+		}
+		return respondOK(w, r, body)
+	})
+	failed := 0
+	for n := range 40 {
+		if got := source.request("POST", "/pay/x", fmt.Sprintf("p%d", n), "x"); got.status != 200 {
+			failed++
+		}
+	}
+	if failed > 1 {
+		t.Errorf("%d of 40 requests failed, 1 before the server is known to be unsound", failed)
+	}
+}
--- a/httpc/header.go
+++ b/httpc/header.go
@@ -108,7 +108,7 @@
 	return resp, length, nil
 }
 
-// spliced records bytes of another response in a header and returns a *SpliceError.
+// spliced records that the server is unsound and returns a *SpliceError.
 func (x *exchange) spliced(field string) error {
 	x.p.recordStray(x.c, StrayInside)
 	return &SpliceError{Field: field}
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -43,6 +43,9 @@
 	MaxHeaderBytes int64
 	// SingleFields lists the header fields, in canonical form, that occur at most once in a response.
 	SingleFields []string
+	// UnsoundTime is how long a server counts as unsound after it has sent bytes that belong to no
+	// request.
+	UnsoundTime time.Duration
 	// OnStray, if set, is called when a server has sent bytes that belong to no request.
 	OnStray func(Stray)
 	// Now returns the current time.
@@ -92,6 +95,8 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// strayAt is when a server sent bytes last that belong to no request.
+	strayAt map[netip.AddrPort]time.Time
 }
 
 // New returns an empty pool.
@@ -99,7 +104,7 @@
 	if cfg.MaxHeaderBytes <= 0 {
 		cfg.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
-	return &Pool{cfg: cfg, idle: map[netip.AddrPort][]*conn{}}
+	return &Pool{cfg: cfg, idle: map[netip.AddrPort][]*conn{}, strayAt: map[netip.AddrPort]time.Time{}}
 }
 
 // Dials returns the number of connections established.
@@ -183,15 +188,18 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
+		_ = p.isClean(c)
 		_ = c.nc.Close()
 	}
 }
 
-// CloseIdle closes the idle connections to addr. It is used when the server there has stopped.
+// CloseIdle closes the idle connections to addr, and a server there counts as sound. It is used when the
+// server there has stopped.
 func (p *Pool) CloseIdle(addr netip.AddrPort) {
 	p.mu.Lock()
 	list := p.idle[addr]
 	delete(p.idle, addr)
+	delete(p.strayAt, addr)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.nc.Close()
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -35,6 +35,9 @@
 	MaxIdleTime time.Duration
 	// NewConn sends the request on a new connection.
 	NewConn bool
+	// Once is set for a request that must not run twice. It is sent on a new connection while the server
+	// is unsound.
+	Once bool
 	// Key identifies the request, 0 if it need not be. A connection on which a request was rejected does
 	// not carry one with the same key again, since the server may write the rejection a second time.
 	Key uint64
@@ -116,7 +119,7 @@
 		maxIdle = maxIdleTime
 	}
 	var c *conn
-	if !req.NewConn {
+	if !req.NewConn && !(req.Once && p.isUnsound(addr)) {
 		c = p.takeIdle(addr, maxIdle, req.Key)
 	}
 	if c == nil {
--- a/httpc/stray.go
+++ b/httpc/stray.go
@@ -27,11 +27,23 @@
 
 // recordStray records that the server of a connection sent bytes that belong to no request.
 func (p *Pool) recordStray(c *conn, place StrayPlace) {
+	p.mu.Lock()
+	p.strayAt[c.addr] = p.cfg.Now()
+	p.mu.Unlock()
 	if p.cfg.OnStray != nil {
 		p.cfg.OnStray(Stray{Addr: c.addr, Place: place, Carried: c.carried})
 	}
 }
 
+// isUnsound reports whether the server at addr has sent bytes lately that belong to no request. More of
+// them may arrive on connections that have carried requests, and on those alone.
+func (p *Pool) isUnsound(addr netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.strayAt[addr]
+	return ok && p.cfg.Now().Sub(at) < p.cfg.UnsoundTime
+}
+
 // isClean reports whether an idle connection is open and has nothing to read. Bytes that arrive
 // without a pending request can't be matched to any request.
 func (p *Pool) isClean(c *conn) bool {
