bench: the deep soak's servers write parts of earlier responses

Servers refuse with 503 or 429. A server that fails runs 0.1 of its requests and answers them with a signed 500 and a body.

The calls that servers make for a /pay/ request are non-idempotent too, and their responses are checked as the callers' are. A response of 200 needs a server that answered 200, and the server's signature; a signed failure must have the status and body of the server's (promise "failure"). All four statuses that promise 'not run' are recorded for "notrun". The summary counts the broken promises by kind and the callers' 502.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -41,8 +41,16 @@
 	soakMinSuccessRatio = 0.95
 	// soakRequestTimeout is the timeout of a caller's request.
 	soakRequestTimeout = 2 * time.Second
+	// oncePath is the part of a path that all non-idempotent requests have, downstream calls too.
+	oncePath = "/pay/"
 )
 
+// serverAnswer identifies what a backend server answered to a request.
+type serverAnswer struct {
+	request string
+	status  int
+}
+
 // soak is one randomized run of the real programs under faults that are injected from outside.
 type soak struct {
 	c          *cluster
@@ -64,13 +72,20 @@
 	mu            sync.Mutex
 	runs          map[string]int
 	nonIdempotent map[string]bool
-	shed          map[string]string
-	violations    []string
-	sent          int
-	served        int
-	measured      [2]int
-	measuring     bool
-	version       uint64
+	// shed holds the statuses that promised a caller that a request did not run.
+	shed map[string]int
+	// answers are the complete responses of backend servers that ran a request.
+	answers    map[serverAnswer]bool
+	violations []string
+	// broken counts the violations by invariant.
+	broken map[string]int
+	// gateway is the number of requests of callers that got 502.
+	gateway   int
+	sent      int
+	served    int
+	measured  [2]int
+	measuring bool
+	version   uint64
 	// acked is the latest version that the store has acknowledged.
 	acked uint64
 }
@@ -101,8 +116,8 @@
 
 func newSoak(c *cluster, seed uint64) *soak {
 	return &soak{
-		c: c, rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{}, nonIdempotent: map[string]bool{}, shed: map[string]string{},
-		faults: soakFaults,
+		c: c, rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{}, nonIdempotent: map[string]bool{}, shed: map[string]int{},
+		answers: map[serverAnswer]bool{}, broken: map[string]int{}, faults: soakFaults,
 	}
 }
 
@@ -110,9 +125,22 @@
 func (s *soak) recordViolation(invariant, request, detail string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.addViolation(invariant, request, detail)
+}
+
+// addViolation requires s.mu.
+func (s *soak) addViolation(invariant, request, detail string) {
+	s.broken[invariant]++
 	s.violations = append(s.violations, fmt.Sprintf("promise=%s request=%s %s", invariant, request, detail))
 }
 
+// recordAnswer records how a backend server is about to answer a request that it ran.
+func (s *soak) recordAnswer(request string, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[serverAnswer{request, status}] = true
+}
+
 // recordRun records that a backend server began to run a request. once is set for a request that
 // must run at most once.
 func (s *soak) recordRun(request string, once bool) {
@@ -260,7 +288,7 @@
 	}
 	t, err := policy.NewTable([]policy.Route{
 		rule("view", "/view/", soakUpper, 2, true), rule("pay", "/pay/", soakUpper, 0, false), rule("deep", "/deep/", soakLower, 1, true),
-		rule("base", "/base/", soakBase, 1, true),
+		rule("base", "/base/", soakBase, 1, true), rule("deep-pay", "/deep/pay/", soakLower, 0, false), rule("base-pay", "/base/deep/pay/", soakBase, 0, false),
 	}, []policy.Service{
 		{Name: soakUpper, HealthPath: "/health", MaxConnections: 100},
 		{Name: soakLower, HealthPath: "/health", MaxConnections: 100},
@@ -375,6 +403,7 @@
 			res = s.send(ctx, h, n.outboundAddr, path, id, "body of "+id)
 		}
 		s.checkResult(id, expectedBody(id, long), res)
+		s.countResult(res.status)
 		if res.status == http.StatusOK {
 			s.recordPassed(n, res.header)
 		}
@@ -382,28 +411,46 @@
 	return nil
 }
 
-// checkResult checks the response to a request, whose complete body is want, and counts it.
+// checkResult checks the response to a request or downstream call, whose complete body is want.
 func (s *soak) checkResult(id, want string, res callResult) {
-	switch {
-	case res.status == http.StatusOK && (res.body != want || res.id != id):
-		s.recordViolation("whole", id, fmt.Sprintf("got %q as %s", shortened(res.body), res.id))
-	case res.status == http.StatusNotFound, res.status == http.StatusBadRequest:
-		s.recordViolation("denied", id, fmt.Sprintf("got status %d", res.status))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	signature := res.header.Get(platform.Headers().Signature)
+	answered := s.answers[serverAnswer{id, res.status}]
+	switch res.status {
+	case http.StatusOK:
+		if !answered {
+			s.addViolation("failure", id, fmt.Sprintf("got 200 and %q, no backend server answered so", shortened(res.body)))
+		} else if res.body != want || res.id != id || signature != "sig-"+id {
+			s.addViolation("whole", id, fmt.Sprintf("got %q as %s signed %q", shortened(res.body), res.id, signature))
+		}
+		return
+	case http.StatusNotFound, http.StatusBadRequest:
+		s.addViolation("denied", id, fmt.Sprintf("got status %d", res.status))
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		s.shed[id] = res.status
+	}
+	if signature != "" && (!answered || res.body != failureBody(id) || res.id != id || signature != "sig-"+id) {
+		s.addViolation("failure", id, fmt.Sprintf("got %d and %q as %s signed %q", res.status, shortened(res.body), res.id, signature))
 	}
+}
+
+// countResult counts the response to a request of a caller.
+func (s *soak) countResult(status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent++
-	if res.status == http.StatusOK {
-		s.served++
-	}
 	if s.measuring {
 		s.measured[0]++
-		if res.status == http.StatusOK {
+	}
+	switch status {
+	case http.StatusOK:
+		s.served++
+		if s.measuring {
 			s.measured[1]++
 		}
-	}
-	if res.status == http.StatusServiceUnavailable || res.status == http.StatusTooManyRequests {
-		s.shed[id] = fmt.Sprint(res.status)
+	case http.StatusBadGateway:
+		s.gateway++
 	}
 }
 
@@ -441,16 +488,17 @@
 		requests++
 		reruns += n - 1
 		if s.nonIdempotent[id] && n > 1 {
-			s.violations = append(s.violations, fmt.Sprintf("promise=once request=%s ran %d times", id, n))
+			s.addViolation("once", id, fmt.Sprintf("ran %d times", n))
 		}
 		if status, ok := s.shed[id]; ok && s.nonIdempotent[id] {
-			s.violations = append(s.violations, fmt.Sprintf("promise=notrun request=%s was answered %s and ran", id, status))
+			s.addViolation("notrun", id, fmt.Sprintf("was answered %d and ran", status))
 		}
 	}
 	if s.measured[0] == 0 || float64(s.measured[1]) < soakMinSuccessRatio*float64(s.measured[0]) {
-		s.violations = append(s.violations, fmt.Sprintf("promise=recovery %d of %d requests served at the end", s.measured[1], s.measured[0]))
+		s.addViolation("recovery", "-", fmt.Sprintf("%d of %d requests served at the end", s.measured[1], s.measured[0]))
 	}
-	fmt.Printf("soak: asked=%d served=%d runs=%d again=%d last=%d/%d broken=%d\n", s.sent, s.served, requests, reruns, s.measured[1], s.measured[0], len(s.violations))
+	fmt.Printf("soak: asked=%d served=%d got502=%d runs=%d again=%d last=%d/%d broken=%d %v\n",
+		s.sent, s.served, s.gateway, requests, reruns, s.measured[1], s.measured[0], len(s.violations), s.broken)
 	if len(s.violations) == 0 {
 		return nil
 	}
--- a/bench/soakapp.go
+++ b/bench/soakapp.go
@@ -27,11 +27,16 @@
 	soakReportInterval = 400 * time.Millisecond
 	// refuseRatio is the share of its requests that a refusing server refuses.
 	refuseRatio = 0.55
+	// failRatio is the share of the requests that a failing server runs and answers with a failure.
+	failRatio = 0.1
 	// maxArrivalAfterLeave is how long requests may still arrive after the daemon has acknowledged
 	// that the server leaves.
 	maxArrivalAfterLeave = 2 * time.Second
 )
 
+// refusalStatuses are the statuses of a server's refusals.
+var refusalStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
+
 // soakServer is the backend server of one instance. It runs in the process of the soak.
 type soakServer struct {
 	s          *soak
@@ -39,9 +44,9 @@
 	headers    front.Headers
 	extraDelay atomic.Int64
 	corrupting atomic.Bool
-	// refusing is set while the server refuses refuseRatio of its requests; repeating and splitting are
-	// those of its listener.
-	refusing, repeating, splitting atomic.Bool
+	// refusing is set while the server refuses refuseRatio of its requests, failing while failRatio of
+	// them fail; copying and splitting are those of its listener.
+	refusing, failing, copying, splitting atomic.Bool
 	// early is set while the server answers some uploads before it has read them, halving while it breaks
 	// off some responses to them.
 	early, halving atomic.Bool
@@ -74,12 +79,13 @@
 	a.sequence, a.draining, a.leaveAckedAt = 0, false, time.Time{}
 	a.statements.restart()
 	id := a.id
-	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.handle(w, r, id) })}
+	handler := func(w http.ResponseWriter, r *http.Request) { a.handle(w, r, id) }
+	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(handler), ConnState: followState}
 	a.server = srv
 	a.mu.Unlock()
 	a.s.g.Go(func() error {
 		// Serve returns an error when the soak closes the server.
-		_ = srv.Serve(&unsoundListener{Listener: l, repeating: &a.repeating, splitting: &a.splitting})
+		_ = srv.Serve(&unsoundListener{Listener: l, copying: &a.copying, splitting: &a.splitting})
 		return nil
 	})
 	return nil
@@ -166,7 +172,7 @@
 	case a.running.Add(1) > soakSlots, a.refusing.Load() && rand.Float64() < refuseRatio:
 		a.running.Add(-1)
 		h.Set(a.headers.NotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(refusalStatuses[rand.IntN(len(refusalStatuses))])
 		return
 	}
 	defer a.running.Add(-1)
@@ -175,14 +181,20 @@
 		a.serveLong(w, r, request)
 		return
 	}
+	a.runRequest(w, r, request)
+}
+
+// runRequest runs a request and its downstream calls.
+func (a *soakServer) runRequest(w http.ResponseWriter, r *http.Request, request string) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	a.checkArrival(r, request)
+	h := w.Header()
 	a.checkStatements(request)
 	a.addStatements(h)
-	a.s.recordRun(request, strings.HasPrefix(r.URL.Path, "/pay/"))
+	a.s.recordRun(request, strings.Contains(r.URL.Path, oncePath))
 	sleepFor(r.Context(), 5*time.Millisecond+time.Duration(a.extraDelay.Load()))
 	status := a.callLower(r.Context(), request, r.URL.Path)
 	h.Set(a.headers.Signature, "sig-"+request)
@@ -190,8 +202,16 @@
 		a.writeCorrupted(w, request)
 		return
 	}
+	if a.failing.Load() && rand.Float64() < failRatio {
+		status = http.StatusInternalServerError
+	}
+	a.s.recordAnswer(request, status)
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, responseBody(request, body))
+	if status == http.StatusOK {
+		_, _ = io.WriteString(w, responseBody(request, body))
+	} else {
+		_, _ = io.WriteString(w, failureBody(request))
+	}
 }
 
 // responseBody returns the complete response body for a request.
@@ -199,6 +219,11 @@
 	return "answer to " + request + " " + string(body)
 }
 
+// failureBody returns the complete response body for a request that ran and failed.
+func failureBody(request string) string {
+	return "failure of " + request
+}
+
 // writeCorrupted writes a truncated response or the response of another request.
 func (a *soakServer) writeCorrupted(w http.ResponseWriter, request string) {
 	if rand.IntN(2) == 0 {
@@ -242,7 +267,9 @@
 		calls = []string{"/base" + path}
 	}
 	for i, call := range calls {
-		res := a.s.send(ctx, a.http, a.instance.outboundAddr, call, fmt.Sprintf("%s.%d", request, i+1), "")
+		id := fmt.Sprintf("%s.%d", request, i+1)
+		res := a.s.send(ctx, a.http, a.instance.outboundAddr, call, id, "")
+		a.s.checkResult(id, responseBody(id, nil), res)
 		if res.status != http.StatusOK {
 			return http.StatusInternalServerError
 		}
--- a/bench/soakfault.go
+++ b/bench/soakfault.go
@@ -79,11 +79,15 @@
 // that is restored from a copy.
 var soakDeepFaults = []soakFault{
 	{"app-refuse", serverFlag(func(a *soakServer) *atomic.Bool { return &a.refusing })},
-	{"app-again", serverFlag(func(a *soakServer) *atomic.Bool { return &a.repeating })},
+	{"app-fail", serverFlag(func(a *soakServer) *atomic.Bool { return &a.failing })},
+	{"app-copy", serverFlag(func(a *soakServer) *atomic.Bool { return &a.copying })},
 	{"app-split", serverFlag(func(a *soakServer) *atomic.Bool { return &a.splitting })},
 	{"service-unsound", makeServiceUnsound},
 	{"service-unsound", makeServiceUnsound},
 	{"service-unsound", makeServiceUnsound},
+	{"service-unsound", makeServiceUnsound},
+	{"service-unsound", makeServiceUnsound},
+	{"service-unsound", makeServiceUnsound},
 	{"store-restore", restoreStore},
 	{"store-restore", restoreStore},
 }
@@ -116,14 +120,15 @@
 	}
 }
 
-// makeServiceUnsound makes all servers of a service refuse requests and write responses again, late and
-// in pieces.
+// makeServiceUnsound makes all servers of a service refuse requests, fail some, and write responses in
+// pieces and parts of earlier ones.
 func makeServiceUnsound(ctx context.Context, s *soak, n *soakInstance, dur time.Duration) {
 	set := func(on bool) {
 		for _, other := range s.instances {
 			if other.service == n.service {
 				other.server.refusing.Store(on)
-				other.server.repeating.Store(on)
+				other.server.failing.Store(on)
+				other.server.copying.Store(on)
 				other.server.splitting.Store(on)
 			}
 		}
--- a/bench/soaklong.go
+++ b/bench/soaklong.go
@@ -80,6 +80,7 @@
 	}
 	early := unsound && a.early.Load()
 	write := func() {
+		a.s.recordAnswer(request, http.StatusOK)
 		w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 		_, _ = w.Write(answer)
 	}
