--- a/httpc/request.go
+++ b/httpc/request.go
@@ -119,7 +119,7 @@
 		maxIdle = maxIdleTime
 	}
 	var c *conn
-	if !req.NewConn && !(req.Once && p.isUnsound(addr)) {
+	if !req.NewConn && (!req.Once || !p.isUnsound(addr)) {
 		c = p.takeIdle(addr, maxIdle, req.Key)
 	}
 	if c == nil {
