httpc: a body that was cut and filled by another response is not whole

Callers got a 200 with the server's signature whose body ended in the status line and the header of an earlier response. A faulty server cut the response, kept the connection open and wrote a copy of an earlier response on it, late. The length is the only sign of the end of a body, and the copy made it up. It happened to requests of both kinds, with buffered and streamed bodies.

Bytes of another response can only follow on a connection that has carried one before. There, a body that contains the beginning of a response now fails in place of its end if its server sends bytes that belong to no request, now or lately; so does one that ends inside the beginning of a response.

What remains: a body that is filled by bytes from the middle of another response, or exactly to its end by a server that sent nothing else yet.

--- a/httpc/header.go
+++ b/httpc/header.go
@@ -20,16 +20,21 @@
 	return fmt.Sprintf("response header exceeds %d bytes", e.Limit)
 }
 
-// SpliceError reports a response header whose bytes belong to more than one response.
+// SpliceError reports a response whose bytes belong to more than one response.
 type SpliceError struct {
-	// Field is the name of the field that occurs more than once; empty if the header contains a second
-	// status line.
+	// Field is the name of the header field that occurs more than once; empty if the header or the body
+	// contains another status line.
 	Field string
+	// Body is set if the body contains another status line.
+	Body bool
 }
 
 func (e *SpliceError) Error() string {
-	if e.Field != "" {
+	switch {
+	case e.Field != "":
 		return fmt.Sprintf("response header has several fields %s", e.Field)
+	case e.Body:
+		return "response body contains another response"
 	}
 	return "response header contains another status line"
 }
@@ -94,7 +99,7 @@
 	}
 	length := int64(len(header))
 	if statusLine.Match(header[1:]) {
-		return nil, 0, x.spliced("")
+		return nil, 0, x.spliced(&SpliceError{})
 	}
 	resp, err := http.ReadResponse(x.c.br, req)
 	if err != nil {
@@ -102,14 +107,14 @@
 	}
 	for _, name := range x.p.cfg.SingleFields {
 		if len(resp.Header[name]) > 1 {
-			return nil, 0, x.spliced(name)
+			return nil, 0, x.spliced(&SpliceError{Field: name})
 		}
 	}
 	return resp, length, nil
 }
 
-// spliced records that the server is unsound and returns a *SpliceError.
-func (x *exchange) spliced(field string) error {
+// spliced records that the server is unsound and returns err.
+func (x *exchange) spliced(err *SpliceError) error {
 	x.p.recordStray(x.c, StrayInside)
-	return &SpliceError{Field: field}
+	return err
 }
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -161,6 +161,7 @@
 	if isCloseDelimited(resp) {
 		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, x: x}
 	}
+	resp.Body = x.guardBody(resp.Body)
 	return x.readBody(resp)
 }
 
--- a/httpc/stray.go
+++ b/httpc/stray.go
@@ -10,7 +10,7 @@
 	StrayIdle StrayPlace = "idle"
 	// StrayBefore means that a response to another request arrived where a response was due.
 	StrayBefore StrayPlace = "before"
-	// StrayInside means that a header is that of more than one response.
+	// StrayInside means that a header or a body is that of more than one response.
 	StrayInside StrayPlace = "inside"
 	// StrayAfter means that the bytes followed a response.
 	StrayAfter StrayPlace = "after"
