load: counts of ended actions by outcome

The log of a run needs what was served, shed, late and lost by the second in which it ended; the recorder had only the successes by their end. Late is an action whose deadline passed, by the word of the entry or by the caller's own clock.

--- a/load/record.go
+++ b/load/record.go
@@ -11,6 +11,7 @@
 
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/caller"
+	"sycamorespread.dev/runlog"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -37,7 +38,7 @@
 	kinds      []Kind
 	counts     []Counts
 	buckets    [][]Counts
-	completed  [][]uint64
+	ended      [][]runlog.Counts
 	latencies  *hdrhistogram.Histogram
 	reasons    map[string]uint64
 	mismatches []error
@@ -50,7 +51,7 @@
 		kinds:     kinds,
 		counts:    make([]Counts, len(kinds)),
 		buckets:   make([][]Counts, len(kinds)),
-		completed: make([][]uint64, len(kinds)),
+		ended:     make([][]runlog.Counts, len(kinds)),
 		latencies: hdrhistogram.New(1, histMax, histDigits),
 		reasons:   map[string]uint64{},
 		notRun:    map[action.ID]string{},
@@ -62,10 +63,9 @@
 	defer r.mu.Unlock()
 	i := int(offset / BucketWidth)
 	r.buckets[kind] = grow(r.buckets[kind], i+1)
-	if end := int((offset + latency) / BucketWidth); mismatch == nil && res.Outcome == sycapb.Outcome_OUTCOME_DONE {
-		r.completed[kind] = grow(r.completed[kind], end+1)
-		r.completed[kind][end]++
-	}
+	end := int((offset + latency) / BucketWidth)
+	r.ended[kind] = grow(r.ended[kind], end+1)
+	r.ended[kind][end].Add(outcomeOf(r.kinds[kind], latency, res, mismatch))
 	r.count(&r.counts[kind], res, mismatch)
 	r.count(&r.buckets[kind][i], res, mismatch)
 	k := r.kinds[kind]
@@ -110,6 +110,22 @@
 	}
 }
 
+// outcomeOf returns the outcome of an action in the log of its run.
+func outcomeOf(k Kind, latency time.Duration, res *caller.Result, mismatch error) runlog.Outcome {
+	timedOut := k.Timeout > 0 && latency >= k.Timeout
+	switch {
+	case mismatch != nil:
+		return runlog.Lost
+	case res.Outcome == sycapb.Outcome_OUTCOME_DONE:
+		return runlog.Served
+	case timedOut, res.Reason == sycapb.Reason_REASON_DEADLINE:
+		return runlog.Late
+	case res.Outcome == sycapb.Outcome_OUTCOME_NOTRUN:
+		return runlog.Shed
+	}
+	return runlog.Lost
+}
+
 // Sum returns the total counts of the kinds with one of the names, or of all kinds.
 func (r *Recorder) Sum(names ...string) Counts {
 	r.mu.Lock()
@@ -133,16 +149,21 @@
 
 // Completed returns the number of successful actions that ended in a time span.
 func (r *Recorder) Completed(from, to time.Duration, names ...string) uint64 {
+	return r.Ended(from, to, names...).Served
+}
+
+// Ended returns the counts of the actions that ended in a time span.
+func (r *Recorder) Ended(from, to time.Duration, names ...string) runlog.Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sum := uint64(0)
+	var sum runlog.Counts
 	for i, k := range r.kinds {
 		if !matchesName(k, names) {
 			continue
 		}
-		for s, n := range r.completed[i] {
+		for s, c := range r.ended[i] {
 			if at := time.Duration(s) * BucketWidth; at >= from && at < to {
-				sum += n
+				sum = sum.Plus(c)
 			}
 		}
 	}
