--- a/sycload/main.go
+++ b/sycload/main.go
@@ -3,6 +3,7 @@
 //
 //	sycload --entries 127.0.1.1:17101,127.0.2.2:17101 --rate 200 --duration 10s \
 //	    --mix statements.view=5 --mix payments.pay=1:once
+//	sycload report bin/soak-1.run   plots a run of the test harness and judges it
 package main
 
 import (
@@ -56,6 +57,7 @@
 	root.Flags().Uint64Var(&f.seed, "seed", 1, "seed of starts and mix")
 	root.Flags().BoolVar(&f.json, "json", false, "print JSON")
 	root.RunE = func(c *cobra.Command, _ []string) error { return f.run(c.Context()) }
+	root.AddCommand(reportCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	err := root.ExecuteContext(ctx)
 	stop()
