bench: soak and prove log their runs

--run FILE writes the traffic by second and the faults with their times, as package runlog defines them; make soak and make prove set it, plot the run beside the log with sycload report, and exit with the code of the run. A log that an earlier run left is removed first, so that it isn't reported in place of one that did not start.

all-killed waits for its restarts, so that its end in the log is that of the fault.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,10 @@
 SEED ?= 1
 # Further flags of the soak, such as --deep or --long.
 SOAK ?=
+# Log of the run of soak or prove. Its plots are written beside it.
+RUN ?= bin/$@$(subst --,-,$(subst $() ,,$(SOAK)))-$(SEED).run
+# Plots the run and prints its verdict, and exits with the code of the run.
+REPORT = rc=$$?; bin/sycload report $(RUN) || rc=1; exit $$rc
 DURATION ?= 60s
 # The users' bench and the site files of the regression runs, the largest first.
 PLAYER ?=
@@ -27,10 +31,10 @@
 	@bin/bench surge
 
 prove: build
-	@bin/bench prove --seed $(SEED) --duration $(DURATION)
+	@rm -f $(RUN); bin/bench prove --seed $(SEED) --duration $(DURATION) --run $(RUN); $(REPORT)
 
 soak: build
-	@bin/bench soak --seed $(SEED) --duration $(DURATION) $(SOAK)
+	@rm -f $(RUN); bin/bench soak --seed $(SEED) --duration $(DURATION) $(SOAK) --run $(RUN); $(REPORT)
 
 slopes: build
 	@bin/bench slopes
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -81,6 +81,8 @@
 	relay     bool
 	leaveWait time.Duration
 	level     string
+	// runFile is the file to which the run is logged, if it is not empty.
+	runFile string
 }
 
 // cluster is one deployment, run as separate processes on loopback.
--- a/bench/prove.go
+++ b/bench/prove.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/load"
+	"sycamorespread.dev/runlog"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -59,6 +60,8 @@
 	crashes       atomic.Int64
 	stopping      atomic.Bool
 	acceptResults []acceptResult
+	// log records the faults.
+	log           *runlog.Recorder
 	maxRevisions  map[string]uint64
 	revisionDrops []string
 }
@@ -75,17 +78,18 @@
 func proveCommand(bin, dir *string) *cobra.Command {
 	var seed uint64
 	var duration time.Duration
-	var name string
+	var name, runFile string
 	c := &cobra.Command{Use: "prove", Short: "Run load under a random schedule of all faults", Args: cobra.NoArgs}
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the faults and the load")
 	c.Flags().DurationVar(&duration, "duration", time.Minute, "duration of the load")
 	c.Flags().StringVar(&name, "deployment", "kolonihave", "deployment to run: kolonihave or ballonbuch")
+	c.Flags().StringVar(&runFile, "run", "", "file to which the run is logged, for sycload report")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		top, err := topologyOf(name)
 		if err != nil {
 			return err
 		}
-		opt := options{bin: *bin, dir: *dir, mode: "full", level: "info", leaveWait: 3 * time.Second, relay: true}
+		opt := options{bin: *bin, dir: *dir, mode: "full", level: "info", leaveWait: 3 * time.Second, relay: true, runFile: runFile}
 		rec, err := prove(c.Context(), top, opt, seed, duration)
 		var broken *invariantError
 		if errors.As(err, &broken) {
@@ -138,6 +142,7 @@
 		BodySize: 256,
 	})
 	start := time.Now()
+	p.log = runlog.NewRecorder("prove "+p.c.top.name, p.seed, start)
 	watch, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
 	background, inner := errgroup.WithContext(watch)
@@ -153,13 +158,19 @@
 		g.Go(func() error {
 			wait(inner, f.at-time.Since(start))
 			fmt.Printf("at=%s fault=%s target=%s length=%s\n", f.at.Round(time.Millisecond), f.kind, p.c.instances[f.target].id, f.duration.Round(time.Millisecond))
+			end := p.log.StartFault(time.Now(), f.kind.String(), p.c.instances[f.target].id)
+			defer func() { end(time.Now()) }()
 			return p.inject(inner, f)
 		})
 	}
-	if err := g.Wait(); err != nil {
+	err := g.Wait()
+	if logErr := p.writeRun(gen.Recorder(), start, duration); err == nil {
+		err = logErr
+	}
+	if err != nil {
 		return gen.Recorder(), err
 	}
-	err := p.checkInvariants(ctx, gen.Recorder(), duration)
+	err = p.checkInvariants(ctx, gen.Recorder(), duration)
 	stopWatch()
 	if waitErr := background.Wait(); err == nil {
 		err = waitErr
--- a/bench/soak.go
+++ b/bench/soak.go
@@ -21,6 +21,7 @@
 
 	"sycamorespread.dev/platform"
 	"sycamorespread.dev/policy"
+	"sycamorespread.dev/runlog"
 	"sycamorespread.dev/store"
 	"sycamorespread.dev/sycapb"
 )
@@ -54,6 +55,7 @@
 // soak is one randomized run of the real programs under faults that are injected from outside.
 type soak struct {
 	c          *cluster
+	seed       uint64
 	rng        *rand.Rand
 	instances  []*soakInstance
 	storeProxy *faultProxy
@@ -64,6 +66,8 @@
 	// long is set if callers also send uploads with long bodies.
 	long   bool
 	client *store.Client
+	// log records the traffic and the faults.
+	log    *runlog.Recorder
 	g      errgroup.Group
 	cancel context.CancelFunc
 	// policyMu is held while a version is written, so that versions only rise.
@@ -95,14 +99,16 @@
 	var dur time.Duration
 	var size int
 	var deep, long bool
+	var runFile string
 	cmd := &cobra.Command{Use: "soak", Short: "Inject random faults into the programs on the users' platform", Args: cobra.NoArgs}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the fault schedule")
 	cmd.Flags().DurationVar(&dur, "duration", 40*time.Second, "duration of the run, with the fault-free time at its end")
 	cmd.Flags().IntVar(&size, "size", 9, "instances")
 	cmd.Flags().BoolVar(&deep, "deep", false, "three services that call each other, with unsound servers and a store that is restored from copies")
 	cmd.Flags().BoolVar(&long, "long", false, "uploads with long bodies, servers that answer them early or in half, and heartbeats of other writers")
+	cmd.Flags().StringVar(&runFile, "run", "", "file to which the run is logged, for sycload report")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		s := newSoak(&cluster{opt: options{bin: *bin, dir: *dir}}, seed)
+		s := newSoak(&cluster{opt: options{bin: *bin, dir: *dir, runFile: runFile}}, seed)
 		if deep {
 			s.deep, s.faults = true, append(s.faults, soakDeepFaults...)
 		}
@@ -116,7 +122,7 @@
 
 func newSoak(c *cluster, seed uint64) *soak {
 	return &soak{
-		c: c, rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{}, nonIdempotent: map[string]bool{}, shed: map[string]int{},
+		c: c, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{}, nonIdempotent: map[string]bool{}, shed: map[string]int{},
 		answers: map[serverAnswer]bool{}, broken: map[string]int{}, faults: soakFaults,
 	}
 }
@@ -161,7 +167,9 @@
 	if err := s.start(ctx, size); err != nil {
 		return err
 	}
-	end := time.Now().Add(dur)
+	began := time.Now()
+	end := began.Add(dur)
+	s.log = runlog.NewRecorder(s.name(), s.seed, began)
 	s.g.Go(func() error { return s.injectFaults(ctx, end.Add(-soakRecoveryTime)) })
 	for i, n := range s.instances {
 		for k := range soakCallersPerInstance {
@@ -173,6 +181,7 @@
 	s.setMeasuring(true)
 	sleepFor(ctx, time.Until(end))
 	s.setMeasuring(false)
+	s.writeLog(end)
 	s.checkInForce(ctx)
 	return s.evaluate()
 }
@@ -396,12 +405,14 @@
 			path = "/pay/x"
 		}
 		var res callResult
+		start := time.Now()
 		long := s.long && i%longInterval == longInterval-1
 		if long {
 			res = s.upload(ctx, h, n.outboundAddr, id)
 		} else {
 			res = s.send(ctx, h, n.outboundAddr, path, id, "body of "+id)
 		}
+		s.log.Add(time.Now(), outcomeOf(res, time.Since(start)))
 		s.checkResult(id, expectedBody(id, long), res)
 		s.countResult(res.status)
 		if res.status == http.StatusOK {
--- a/bench/soakfault.go
+++ b/bench/soakfault.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
 
 	"sycamorespread.dev/sycapb"
 )
@@ -147,6 +148,7 @@
 		dur = max(0, min(dur, time.Until(until)))
 		fmt.Printf("fault=%s at=%s for=%s\n", f.name, n.id, dur.Round(time.Millisecond))
 		s.g.Go(func() error {
+			defer s.recordFault(f.name, n.id)()
 			f.inject(ctx, s, n, dur)
 			return nil
 		})
@@ -198,12 +200,14 @@
 }
 
 func killAllDaemons(ctx context.Context, s *soak, _ *soakInstance, dur time.Duration) {
+	var g errgroup.Group
 	for _, n := range s.instances {
-		s.g.Go(func() error {
+		g.Go(func() error {
 			s.restart(ctx, n, syscall.SIGKILL, dur/4)
 			return nil
 		})
 	}
+	_ = g.Wait()
 }
 
 // storeFault returns a function that sets faults in the store stand-in and clears them after dur.
--- /dev/null
+++ b/bench/soakrun.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"sycamorespread.dev/runlog"
+)
+
+// outcomeOf returns the outcome of a request that took some time, in the log of the run.
+func outcomeOf(res callResult, took time.Duration) runlog.Outcome {
+	switch {
+	case res.status == http.StatusOK:
+		return runlog.Served
+	case res.status == http.StatusServiceUnavailable, res.status == http.StatusTooManyRequests:
+		return runlog.Shed
+	case res.status == http.StatusGatewayTimeout, res.status == 0 && took >= soakRequestTimeout:
+		return runlog.Late
+	}
+	return runlog.Lost
+}
+
+// recordFault records the start of a fault, and returns a function that records its end.
+func (s *soak) recordFault(name, target string) func() {
+	end := s.log.StartFault(time.Now(), name, target)
+	return func() { end(time.Now()) }
+}
+
+// name returns the name of the run in its log.
+func (s *soak) name() string {
+	switch {
+	case s.deep:
+		return "soak --deep"
+	case s.long:
+		return "soak --long"
+	}
+	return "soak"
+}
+
+// writeLog writes the log of the run, whose traffic ended at a time.
+func (s *soak) writeLog(end time.Time) {
+	if now := time.Now(); now.Before(end) {
+		end = now
+	}
+	run := s.log.Finish(end)
+	fmt.Println("soak:", run.Verdict())
+	if err := writeRun(s.c.opt.runFile, run); err != nil {
+		s.recordViolation("log", "-", err.Error())
+	}
+}
+
+// writeRun writes the log of a run, unless file is empty.
+func writeRun(file string, run *runlog.Run) error {
+	if file == "" {
+		return nil
+	}
+	return run.WriteFile(file)
+}
