httpc: a discarded body can't hide the response that is due

A non-idempotent request ran twice and its caller got 200: a faulty server wrote the header of a response to another request where the response was due, without its body. Of the response that was due httpc discarded as much as that header announced, with the status line, and read its body as the next response. The check of the header holds only if nothing took the status line before.

A discarded body that contains a status line now ends the exchange, and so does one in chunks, whose extensions can hide anything. Found by a reviewer; TestDiscardedBodySwallowsTheResponse failed before (2 runs of one request). Cost: a second copy of a chunked response, whole, loses the request after it once, until the server is known to be unsound.

--- a/front/splice_test.go
+++ b/front/splice_test.go
@@ -127,3 +127,40 @@
 		t.Errorf("%d of 40 requests failed, 1 before the server is known to be unsound", failed)
 	}
 }
+
+// The body of a discarded response swallowed the header of the response that was due.
+func TestDiscardedBodySwallowsTheResponse(t *testing.T) {
+	const earlier = "HTTP/1.1 200 OK\r\nT-Request: earlier\r\nT-Signature: s\r\n"
+	for name, stray := range map[string]func(header string) string{
+		"length": func(header string) string {
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", earlier, len(header))
+		},
+		"chunk extension": func(string) string { return earlier + "Transfer-Encoding: chunked\r\n\r\n0;" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			route := payRoute
+			route.Timeout = 100 * time.Millisecond
+			cl := newCluster(t, route)
+			cl.unsoundTime = 0
+			source, target := cl.add("dues"), cl.add("plots")
+			var used sync.Map
+			target.setHandler(func(w net.Conn, r *http.Request, _ string) bool {
+				id := r.Header.Get(testHeaders.RequestID)
+				body := fmt.Sprintf("HTTP/1.1 503 X\r\nT-Request: %s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+				header := fmt.Sprintf("HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: %d\r\n\r\n", id, len(body))
+				if _, again := used.LoadOrStore(w, true); again {
+					_, _ = io.WriteString(w, stray(header))
+				}
+				_, _ = io.WriteString(w, header+body)
+				return true
+			})
+			for n := range 4 {
+				before := target.runs.Load()
+				got := source.request("POST", "/pay/x", fmt.Sprintf("p%d", n), "x")
+				if ran := target.runs.Load() - before; ran != 1 || got.status == 503 {
+					t.Errorf("request %d ran %d times, status %d", n, ran, got.status)
+				}
+			}
+		})
+	}
+}
--- a/httpc/mismatch.go
+++ b/httpc/mismatch.go
@@ -70,15 +70,23 @@
 	}
 }
 
-// discard reads and drops a body. It fails if the body is delimited by the close of the connection
-// or exceeds MaxBuffer.
+// discard reads and drops the body of a mismatched response. It fails if the body may contain the
+// response that is due: the stray response may have been cut, and its body filled by what follows. A
+// chunked body can hide that in the extension of a chunk. It also fails if the body is delimited by the
+// close of the connection or exceeds MaxBuffer.
 func (x *exchange) discard(resp *http.Response) error {
 	if isCloseDelimited(resp) {
 		return errors.New("mismatched response body is delimited by connection close")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, x.req.MaxBuffer+1))
-	if err == nil && n > x.req.MaxBuffer {
+	if len(resp.TransferEncoding) > 0 {
+		return errors.New("mismatched response body is chunked")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, x.req.MaxBuffer+1))
+	if err == nil && int64(len(body)) > x.req.MaxBuffer {
 		err = errors.New("mismatched response body is too long")
 	}
+	if err == nil && statusLine.Match(body) {
+		err = x.spliced(&SpliceError{Body: true})
+	}
 	return err
 }
