front: a response without an ID is discarded unless it is the first on its connection

Callers got 502 for requests that had run: a response to no request, such as a second copy of a health check's, stood where the next one was due and was taken for it. The connection was kept, so that the real response waited there for the next request, which failed as well. Only a refusal without an ID was discarded before.

A server that echoes no ID on a used connection makes its request wait for the timeout, where it got 502 at once.

--- a/front/ingress.go
+++ b/front/ingress.go
@@ -292,8 +292,8 @@
 	r.setStream(req)
 	req.IsMismatch = func(h http.Header, first bool) bool {
 		id := h.Get(f.Headers.RequestID)
-		// A refusal that names no request may be of another one.
-		return id != r.id && (id != "" || !first && h.Get(f.Headers.NotRun) != "")
+		// A response that names no request may be one to another request, unless nothing came before it.
+		return id != r.id && (id != "" || !first)
 	}
 	req.Key = xxhash.Sum64String(r.id)
 	req.IsRejection = func(h http.Header) bool { return h.Get(f.Headers.NotRun) != "" }
--- a/front/splice_test.go
+++ b/front/splice_test.go
@@ -164,3 +164,29 @@
 		})
 	}
 }
+
+// A response to no request was taken for the next one, which was lost, and its connection was kept.
+func TestUnnamedResponseReplacesTheNextOne(t *testing.T) {
+	for _, stray := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nT-Instance: s-i1\r\nT-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+	} {
+		cl := newCluster(t, payRoute)
+		cl.unsoundTime = 0
+		source, target := cl.add("dues"), cl.add("plots")
+		var used sync.Map
+		target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+			if _, again := used.LoadOrStore(w, true); again {
+				_, _ = io.WriteString(w, stray)
+				time.Sleep(5 * time.Millisecond)
+			}
+			return respondOK(w, r, body)
+		})
+		for n := range 20 {
+			if got := source.request("POST", "/pay/x", fmt.Sprintf("p%d", n), "x"); got.status != 200 {
+				t.Errorf("%q: request %d got status %d", stray, n, got.status)
+			}
+		}
+	}
+}
