httpc, daemon: connections to an unsound server are closed after one request

Idempotent requests to a server that sends bytes which belong to no request ran twice (399 runs of 200), and connections that requests used once stayed open: 8 after 40 requests one after the other, up to the server's limit under load, where it resets more. Since requests that must run once dial, and their connections went to the pool, where idempotent requests took them first, with the next such bytes on them.

While a server is unsound no connection is kept, but for one each second, for an idempotent request that shows whether the server is sound again. So 10 s suffice in place of 30. The idle connections are closed at the first such bytes. A dial error or a change of the server's state no longer makes it sound at once.

Found by a reviewer. TestIdempotentRequestsRunAgainAtAnUnsoundServer and TestConnectionsToAnUnsoundServerPileUp failed before.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -38,9 +38,9 @@
 	excessIdleTimeout = 4 * time.Second
 	// serverIdleTimeout is how long an idle connection to the backend server is kept if the server sets no timeout.
 	serverIdleTimeout = 4 * time.Second
-	// unsoundTime is how long a backend server counts as unsound after bytes that belong to no request. Idempotent
-	// requests go on testing its kept connections.
-	unsoundTime = 30 * time.Second
+	// unsoundTime is how long a backend server counts as unsound after bytes that belong to no request. Meanwhile
+	// about ten kept connections show whether it still sends them.
+	unsoundTime = 10 * time.Second
 	// outboundIdleTimeout is how long an idle connection of a caller is kept.
 	outboundIdleTimeout = 75 * time.Second
 	// maxIdlePeerConns and maxIdleServerConns bound the idle connections to one address.
--- a/front/splice_test.go
+++ b/front/splice_test.go
@@ -190,3 +190,46 @@
 		}
 	}
 }
+
+// Idempotent requests took the connections on which bytes of an unsound server waited, and ran again.
+func TestIdempotentRequestsRunAgainAtAnUnsoundServer(t *testing.T) {
+	const requests = 200
+	cl := newCluster(t, viewRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	var used sync.Map
+	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+		if _, again := used.LoadOrStore(w, true); again {
+			_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nT-Not-Run: 1\r\nT-Load: 3,")
+		}
+		return respondOK(w, r, body)
+	})
+	for n := range requests {
+		if got := source.request("GET", "/view/x", fmt.Sprintf("v%d", n), ""); got.status != 200 {
+			t.Errorf("request %d got status %d", n, got.status)
+		}
+	}
+	// The retries of a service are to stay under 0.2 of its requests.
+	if runs := target.runs.Load(); runs > requests*12/10 {
+		t.Errorf("%d requests ran %d times", requests, runs)
+	}
+}
+
+// Connections that requests used once filled an unsound server's limit on connections.
+func TestConnectionsToAnUnsoundServerPileUp(t *testing.T) {
+	cl := newCluster(t, payRoute)
+	source, target := cl.add("dues"), cl.add("plots")
+	var first atomic.Bool
+	target.setHandler(func(w net.Conn, r *http.Request, body string) bool {
+		respondOK(w, r, body)
+		if first.CompareAndSwap(false, true) {
+			_, _ = io.WriteString(w, "junk")
+		}
+		return true
+	})
+	for n := range 40 {
+		source.request("POST", "/pay/x", fmt.Sprintf("p%d", n), "x")
+	}
+	if open := target.openConns(); open > 4 {
+		t.Errorf("%d connections are open after 40 requests, one after the other", open)
+	}
+}
--- a/httpc/pool.go
+++ b/httpc/pool.go
@@ -93,10 +93,9 @@
 	cfg   Config
 	dials atomic.Int64
 
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*conn
-	// strayAt is when a server sent bytes last that belong to no request.
-	strayAt map[netip.AddrPort]time.Time
+	mu      sync.Mutex
+	idle    map[netip.AddrPort][]*conn
+	unsound map[netip.AddrPort]*unsoundServer
 }
 
 // New returns an empty pool.
@@ -104,7 +103,7 @@
 	if cfg.MaxHeaderBytes <= 0 {
 		cfg.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
-	return &Pool{cfg: cfg, idle: map[netip.AddrPort][]*conn{}, strayAt: map[netip.AddrPort]time.Time{}}
+	return &Pool{cfg: cfg, idle: map[netip.AddrPort][]*conn{}, unsound: map[netip.AddrPort]*unsoundServer{}}
 }
 
 // Dials returns the number of connections established.
@@ -193,13 +192,11 @@
 	}
 }
 
-// CloseIdle closes the idle connections to addr, and a server there counts as sound. It is used when the
-// server there has stopped.
+// CloseIdle closes the idle connections to addr. It is used when the server there has stopped.
 func (p *Pool) CloseIdle(addr netip.AddrPort) {
 	p.mu.Lock()
 	list := p.idle[addr]
 	delete(p.idle, addr)
-	delete(p.strayAt, addr)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.nc.Close()
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -35,8 +35,8 @@
 	MaxIdleTime time.Duration
 	// NewConn sends the request on a new connection.
 	NewConn bool
-	// Once is set for a request that must not run twice. It is sent on a new connection while the server
-	// is unsound.
+	// Once is set for a request that must not run twice. It is always sent on a new connection while the
+	// server is unsound.
 	Once bool
 	// Key identifies the request, 0 if it need not be. A connection on which a request was rejected does
 	// not carry one with the same key again, since the server may write the rejection a second time.
@@ -312,14 +312,13 @@
 	return n, err
 }
 
-// release returns the connection to the pool if it can safely carry another request: request and
-// response are complete, no response was mismatched, no further bytes arrived and neither side ends
-// the connection. Otherwise it closes the connection.
+// release returns the connection to the pool if it can safely carry another request. Otherwise it
+// closes the connection.
 func (x *exchange) release(resp *http.Response, complete bool) {
 	if complete && x.c.br.Buffered() > 0 {
 		x.p.recordStray(x.c, StrayAfter)
 	}
-	if !x.stop() || x.mismatches > 0 || !complete || !x.sentAll || resp.Close || isCloseDelimited(resp) || x.c.br.Buffered() > 0 {
+	if !x.stop() || !x.isReusable(resp, complete) || !x.p.mayKeep(x.c.addr) {
 		x.abort()
 		return
 	}
@@ -330,3 +329,9 @@
 	x.c.idleSince = x.p.cfg.Now()
 	x.p.putIdle(x.c)
 }
+
+// isReusable reports whether the connection can carry another request: request and response are complete,
+// no response was mismatched, no further bytes arrived and neither side ends the connection.
+func (x *exchange) isReusable(resp *http.Response, complete bool) bool {
+	return complete && x.sentAll && x.mismatches == 0 && !resp.Close && !isCloseDelimited(resp) && x.c.br.Buffered() == 0
+}
--- a/httpc/stray.go
+++ b/httpc/stray.go
@@ -1,6 +1,9 @@
 package httpc
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // StrayPlace is where bytes that belong to no request were found.
 type StrayPlace string
@@ -25,11 +28,30 @@
 	Carried int
 }
 
-// recordStray records that the server of a connection sent bytes that belong to no request.
+// keepInterval is the time between two connections to an unsound server that are kept.
+const keepInterval = time.Second
+
+// unsoundServer is a server that has sent bytes that belong to no request.
+type unsoundServer struct {
+	// strayAt is when it last did so, keptAt when a connection to it was last kept.
+	strayAt, keptAt time.Time
+}
+
+// recordStray records that the server of a connection sent bytes that belong to no request. It closes
+// the idle connections to the server, where more of them may arrive.
 func (p *Pool) recordStray(c *conn, place StrayPlace) {
+	now := p.cfg.Now()
 	p.mu.Lock()
-	p.strayAt[c.addr] = p.cfg.Now()
+	u := p.unsound[c.addr]
+	if u == nil {
+		u = &unsoundServer{keptAt: now}
+		p.unsound[c.addr] = u
+	}
+	u.strayAt = now
 	p.mu.Unlock()
+	if p.cfg.UnsoundTime > 0 {
+		p.CloseIdle(c.addr)
+	}
 	if p.cfg.OnStray != nil {
 		p.cfg.OnStray(Stray{Addr: c.addr, Place: place, Carried: c.carried})
 	}
@@ -40,8 +62,34 @@
 func (p *Pool) isUnsound(addr netip.AddrPort) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at, ok := p.strayAt[addr]
-	return ok && p.cfg.Now().Sub(at) < p.cfg.UnsoundTime
+	return p.unsoundAt(addr, p.cfg.Now()) != nil
+}
+
+// unsoundAt returns the state of an unsound server, nil if it is sound. The caller must hold p.mu.
+func (p *Pool) unsoundAt(addr netip.AddrPort, now time.Time) *unsoundServer {
+	u := p.unsound[addr]
+	if u != nil && now.Sub(u.strayAt) >= p.cfg.UnsoundTime {
+		delete(p.unsound, addr)
+		return nil
+	}
+	return u
+}
+
+// mayKeep reports whether a connection may carry a further request. Of those to an unsound server one is
+// kept each keepInterval, for an idempotent request that shows whether the server is sound again.
+func (p *Pool) mayKeep(addr netip.AddrPort) bool {
+	now := p.cfg.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.unsoundAt(addr, now)
+	if u == nil {
+		return true
+	}
+	if now.Sub(u.keptAt) < keepInterval {
+		return false
+	}
+	u.keptAt = now
+	return true
 }
 
 // isClean reports whether an idle connection is open and has nothing to read. Bytes that arrive
