daemon: a health check is sent on a new connection

A restarted daemon took its backend server for one that leaves, and sent it nothing more until the next start of the server. The server had written a response to another request, which stated that it leaves, where the response to the health check was due. A health check has no ID, so any response on a connection that has carried a request was taken for its own; it decides the state, the slots and the limit of the server.

Additional bytes come only after a complete response, so the first response on a connection is that to its request. Health checks are sent only until the state of the server is known, mostly one in the life of a daemon.

TestResponseToARequestIsTakenForAHealthCheck failed before (not served within 5 s). All other tests of the package passed with this change.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -259,7 +259,8 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	resp, err := d.serverPool.Do(ctx, d.cfg.ServerAddr, &httpc.Request{Method: http.MethodGet, Target: s.HealthPath, Host: d.cfg.ServerAddr.String(), MaxBuffer: maxHeaderBytes})
+	// A health check has no ID. Only the first response on a connection can't be that to another request.
+	resp, err := d.serverPool.Do(ctx, d.cfg.ServerAddr, &httpc.Request{Method: http.MethodGet, Target: s.HealthPath, Host: d.cfg.ServerAddr.String(), NewConn: true, MaxBuffer: maxHeaderBytes})
 	if err != nil {
 		d.log.WithField("err", err).Info("health check of backend server failed")
 		return
