httpc: a status line with several spaces is one

Non-idempotent requests ran twice, or ran and were answered 503, at a server that writes two spaces in its status line and a part of an earlier response before it. The parser accepts such a status line; the look for a second one in a header did not find it.

The cases of TestSplicedResponseIsBelieved with such an answer failed before (3 of 6). No server of the platform is known to write so.

--- a/httpc/header.go
+++ b/httpc/header.go
@@ -39,8 +39,8 @@
 	return "response header contains another status line"
 }
 
-// statusLine matches the beginning of a response.
-var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d\d\d`)
+// statusLine matches the beginning of a response. The parser accepts several spaces.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d\d\d`)
 
 // headerEnds are the ends of a header: an empty line, after a line that ends in LF or CRLF.
 var headerEnds = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
