bench: a response that a server breaks off ends with a reset

A server that breaks off the response to an upload meant to reset the connection. Since its connections are wrapped, the type assertion failed, and the kernel sent a reset only if a part of the request was unread.

--- a/bench/soaklong.go
+++ b/bench/soaklong.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -109,8 +108,8 @@
 	defer func() { _ = c.Close() }()
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig\r\nConnection: close\r\n\r\n%s", a.headers.RequestID, request, a.headers.Signature, answer[:len(answer)/2])
 	time.Sleep(resetDelay)
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
+	if u, ok := c.(*unsoundConn); ok {
+		resetConn(u.Conn)
 	}
 }
 
