bench: the soak's faults depend on its seed alone

The steps between versions of the policy came from the generator of the fault schedule, which other goroutines used at the same time, so that a seed did not give the same faults after the first new version. Seeds give other schedules than before.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -54,8 +54,9 @@
 
 // soak is one randomized run of the real programs under faults that are injected from outside.
 type soak struct {
-	c          *cluster
-	seed       uint64
+	c    *cluster
+	seed uint64
+	// rng determines the fault schedule; only injectFaults uses it.
 	rng        *rand.Rand
 	instances  []*soakInstance
 	storeProxy *faultProxy
@@ -286,7 +287,7 @@
 	s.policyMu.Lock()
 	defer s.policyMu.Unlock()
 	s.mu.Lock()
-	s.version += 1 + uint64(s.rng.IntN(3))
+	s.version += 1 + uint64(rand.IntN(3))
 	version := s.version
 	s.mu.Unlock()
 	rule := func(name, prefix, service string, rank uint32, idempotent bool) policy.Route {
