route: what other servers have no room for goes to those whose daemons stop

During a planned stop under load, callers got 503 and 500 while two of the three servers of a service were well and idle. A target whose daemon announced its stop was picked only if the service had no other one, so the rest of the service got the whole load for the remaining 1.8 s of the stop, whatever its room.

Ruled out: the start (a server has its former rate in the half second in which its daemon starts), and the servers (none reports a failure).

Pick now prefers the other targets as it prefers those of the own zone, and offers to the stopping ones what exceeds them: what they shed, and what they would queue. A level that a stopping target has not reported lately says nothing about it, since it may have got no calls. The level told to callers further up is that of the stopping targets if it admits more. Daemons without the HTTP interface reject new calls once they leave, and are no targets then.

TestFreeSlotsOfStoppingServersAreNotOffered and TestLoadBelowCapacityIsShedInAStop (0.6 of the capacity, 423 of 900 calls rejected) failed before. TestStoppingServerIsTheLastChoice demanded that 20 calls in flight go to a server with 10 slots, which is the fault; it now demands the same of 20 calls while that server has room.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -182,6 +182,8 @@
 func (d *Daemon) targets() []route.Target {
 	var list []route.Target
 	add := func(e *sycapb.MemberEntry, addr netip.AddrPort) {
+		// Without the HTTP interface, a daemon rejects new calls as soon as it leaves.
+		rejects := e.Leaving && d.front == nil
 		if e.State >= sycapb.MemberState_MEMBER_STATE_DEAD || e.Region != d.cfg.Region {
 			return
 		}
@@ -200,7 +202,7 @@
 			Zone:        e.Zone,
 			Slots:       int(e.Slots),
 			Stopping:    e.Leaving,
-			ByIDOnly:    e.Down || e.State != sycapb.MemberState_MEMBER_STATE_ALIVE,
+			ByIDOnly:    e.Down || e.State != sycapb.MemberState_MEMBER_STATE_ALIVE || rejects,
 		})
 	}
 	d.node.ForEach(add)
--- a/route/route.go
+++ b/route/route.go
@@ -7,7 +7,8 @@
 // candidate whose level would shed the call. The call is shed if the level of
 // the service, the median of the latest reported levels, is below its key. A
 // level that is not reported again decays within a second, so that shedding
-// does not outlast its cause.
+// does not outlast its cause. Candidates that are stopping take what exceeds the
+// capacity of the others, as far as they have free slots.
 //
 //	attempt, err := table.Pick(route.Request{Service: "plots", Method: "get", Key: key})
 //	if err != nil {
@@ -64,8 +65,8 @@
 	Zone        string
 	// Slots is the number of calls that the backend server runs at once.
 	Slots int
-	// Stopping is set while the daemon of the target prepares to stop. The target still serves calls,
-	// but Pick chooses it only if the service has no other one.
+	// Stopping is set while the daemon of the target prepares to stop. The target still serves calls;
+	// Pick chooses it for those that exceed the capacity of the other targets.
 	Stopping bool
 	// ByIDOnly excludes the target from Pick; PickByID still finds it.
 	ByIDOnly bool
@@ -205,7 +206,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	available := t.available(req, now)
+	available, stopping := t.available(req, now)
 	if len(available) == 0 {
 		return nil, &NoServerError{Service: req.Service}
 	}
@@ -215,12 +216,15 @@
 	admitting := available
 	if !req.IgnoreLevel && !req.Nested {
 		admitting = admittingCandidates(available, req, now)
+		stopping = withRoom(stopping, req, now)
 	}
-	if len(admitting) == 0 {
+	if len(admitting) == 0 && len(stopping) == 0 {
 		level, age := shedLevel(available, req.Method, now)
 		return nil, &ShedError{Service: req.Service, RetryAfter: retryAfter, Level: level, LevelAge: age}
 	}
-	return t.newAttempt(t.choose(admitting, req.Method, now), req.Method), nil
+	baseline := newBaseline(slices.Concat(admitting, stopping), req.Method, now)
+	c := baseline.prefer(t.choose(baseline, admitting, now), t.choose(baseline, stopping, now), now)
+	return t.newAttempt(c, req.Method), nil
 }
 
 // SetUnreachable sets whether this daemon cannot connect to a target. Pick does
@@ -253,11 +257,11 @@
 	return t.newAttempt(c, method), nil
 }
 
-// available returns the candidates that are reachable, not excluded, not in
-// backoff and not stopping. If there are none, it returns those that are
-// stopping, and else those in backoff.
-func (t *Table) available(req Request, now time.Time) []*candidate {
-	var available, avoided, stopping []*candidate
+// available returns the candidates that are reachable, not excluded and not in
+// backoff: those that are not stopping, and those that are. If all are stopping,
+// they count as the former, and if there are none, those in backoff do.
+func (t *Table) available(req Request, now time.Time) (available, stopping []*candidate) {
+	var avoided []*candidate
 	for _, c := range t.services[req.Service] {
 		switch {
 		case c.unreachable || slices.Contains(req.Exclude, c.target.ID):
@@ -271,11 +275,24 @@
 	}
 	switch {
 	case len(available) > 0:
-		return available
+		return available, stopping
 	case len(stopping) > 0:
-		return stopping
+		return stopping, nil
 	}
-	return avoided
+	return avoided, nil
+}
+
+// withRoom returns the stopping candidates that admit the request and are not
+// full. A level that a candidate has not reported for a while says nothing about
+// it: it may have got no calls.
+func withRoom(stopping []*candidate, req Request, now time.Time) []*candidate {
+	var list []*candidate
+	for _, c := range stopping {
+		if c.level(req.Method, now).Admits(req.Key) && c.utilization(now) < 1 {
+			list = append(list, c)
+		}
+	}
+	return list
 }
 
 // admittingCandidates returns the candidates that admit the request, or none if
@@ -389,9 +406,8 @@
 
 // choose returns the cheaper of two random candidates of the local zone, or of
 // two of the other zones if the local one is more expensive by more than
-// spilloverThreshold.
-func (t *Table) choose(list []*candidate, method string, now time.Time) *candidate {
-	baseline := newBaseline(list, method, now)
+// spilloverThreshold. It returns nil if list is empty.
+func (t *Table) choose(baseline methodBaseline, list []*candidate, now time.Time) *candidate {
 	var local, remote []*candidate
 	for _, c := range list {
 		if c.target.Zone == t.Zone {
@@ -400,18 +416,20 @@
 			remote = append(remote, c)
 		}
 	}
-	localPick := baseline.pickTwo(local, now)
-	remotePick := baseline.pickTwo(remote, now)
-	if localPick == nil {
-		return remotePick
-	}
-	if remotePick == nil || baseline.healthy(localPick, now) && localPick.utilization(now) < localThreshold {
-		return localPick
-	}
-	if baseline.cost(remotePick, now)+spilloverThreshold < baseline.cost(localPick, now) {
-		return remotePick
-	}
-	return localPick
+	return baseline.prefer(baseline.pickTwo(local, now), baseline.pickTwo(remote, now), now)
+}
+
+// prefer returns first, or second if first is clearly busier. Either may be nil.
+func (m methodBaseline) prefer(first, second *candidate, now time.Time) *candidate {
+	switch {
+	case first == nil:
+		return second
+	case second == nil || m.healthy(first, now) && first.utilization(now) < localThreshold:
+		return first
+	case m.cost(second, now)+spilloverThreshold < m.cost(first, now):
+		return second
+	}
+	return first
 }
 
 // score estimates the share of the server that is in use.
@@ -456,13 +474,29 @@
 }
 
 // Level returns the level of a service for a method, or AdmitAll if none was
-// reported within levelHold.
+// reported within levelHold. What the other candidates shed, those that are
+// stopping take, as far as they admit it.
 func (t *Table) Level(service, method string) action.Level {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	level, known := serviceLevel(t.services[service], method, t.now())
-	if !known {
+	var available, stopping []*candidate
+	for _, c := range t.services[service] {
+		if c.target.Stopping {
+			stopping = append(stopping, c)
+		} else {
+			available = append(available, c)
+		}
+	}
+	now := t.now()
+	level, known := serviceLevel(available, method, now)
+	spare, spareKnown := serviceLevel(stopping, method, now)
+	switch {
+	case len(available) == 0 && spareKnown:
+		return spare
+	case !known:
 		return action.AdmitAll
+	case spareKnown:
+		return max(level, spare)
 	}
 	return level
 }
