daemon, front: a stopping daemon takes calls of other daemons until its own callers are served

Requests of callers are rejected first. Calls of other daemons are taken until none of the former is in flight, and only if their deadline passes before the stop must end, so that each call that is taken is finished and the others are told that they did not run. From a second before the end, all are rejected, as downstream calls were; a downstream call whose deadline passes in time is still forwarded. The end is announced as a server that is down, so that others need not learn of it by a rejection.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,8 +72,6 @@
 	drainPollInterval = 20 * time.Millisecond
 	// entryLogInterval is the minimum time between two log lines about invalid member entries.
 	entryLogInterval = 10 * time.Second
-	// lastCallTime is the time before the end of a stop from which downstream calls are rejected too.
-	lastCallTime = time.Second
 )
 
 // Daemon is the sidecar of one backend server.
@@ -116,10 +114,12 @@
 	crashes       crashCounter
 	suspectSem    chan struct{}
 
-	incarnation  uint64
-	leaving      atomic.Bool
-	closing      atomic.Bool
-	ending       atomic.Bool
+	incarnation uint64
+	leaving     atomic.Bool
+	closing     atomic.Bool
+	refusing    atomic.Bool
+	// stopEnd is when a stop of the HTTP interface ends at the latest, nil before one.
+	stopEnd      atomic.Pointer[time.Time]
 	leavingSince atomic.Int64
 	serverDown   atomic.Bool
 	joined       atomic.Bool
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -56,9 +56,6 @@
 	routeObjective = 0.99
 	// sweepInterval is the time between two sweeps that close expired idle connections.
 	sweepInterval = 2 * time.Second
-	// announceDelay is how long a stopping daemon waits before it announces that it takes no new calls, so that the
-	// backend server stays in use while callers are still directed to this daemon.
-	announceDelay = 700 * time.Millisecond
 )
 
 // Adapter connects a daemon to the platform that it runs on. The zero value is
@@ -111,7 +108,8 @@
 		Probe:           d.node.Reachable,
 		Stopping:        d.leaving.Load,
 		Closing:         d.closing.Load,
-		Ending:          d.ending.Load,
+		RejectsInbound:  d.rejectsInbound,
+		RejectsNested:   d.rejectsNested,
 		Table:           d.table,
 		Gate:            d.gate,
 		Budgets:         d.budgets,
@@ -215,27 +213,6 @@
 	})
 }
 
-// leaveFront announces the shutdown and goes on serving until the callers have
-// had time to use other daemons and no requests are in flight.
-func (d *Daemon) leaveFront() {
-	start := time.Now()
-	cfg := d.stopConfig.Load()
-	d.leaving.Store(true)
-	d.log.WithField("inflight", d.front.Inflight()).Info("stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), cfg.StopTimeout)
-	defer cancel()
-	sleep(ctx, min(announceDelay, cfg.StopDelay))
-	d.node.UpdateSelf(func(e *sycapb.MemberEntry) { e.Leaving = true })
-	sleep(ctx, cfg.StopDelay-time.Since(start))
-	d.closing.Store(true)
-	for d.front.Inflight() > 0 && sleep(ctx, drainPollInterval) {
-		d.ending.Store(time.Since(start) > cfg.StopTimeout-lastCallTime)
-	}
-	d.node.UpdateSelf(func(e *sycapb.MemberEntry) { e.State = sycapb.MemberState_MEMBER_STATE_LEFT })
-	d.closeFront(ctx)
-	d.log.WithFields(logrus.Fields{"inflight": d.front.Inflight(), "ms": time.Since(start).Milliseconds()}).Info("left")
-}
-
 // discoverServer probes the backend server until its state is known, so that a
 // restarted daemon need not wait for a heartbeat.
 func (d *Daemon) discoverServer(ctx context.Context) error {
@@ -287,18 +264,6 @@
 	d.log.WithFields(logrus.Fields{"place": s.Place, "carried": s.Carried, "instance": d.serverTracker.Server().Instance}).Warn("backend server sent bytes that belong to no request")
 }
 
-// closeFront shuts down all HTTP servers gracefully: a request may have arrived
-// after the last check for requests in flight, and gets its response first.
-func (d *Daemon) closeFront(ctx context.Context) {
-	var g errgroup.Group
-	for _, s := range d.httpServers {
-		g.Go(func() error { return s.Shutdown(ctx) })
-	}
-	if err := g.Wait(); err != nil {
-		d.log.WithFields(logrus.Fields{"err": err, "inflight": d.front.Inflight()}).Warn("shutdown timed out; aborting requests in flight")
-	}
-}
-
 // serverChanged applies a change of the backend server's state and announces it
 // to the members.
 func (d *Daemon) serverChanged(s life.Server) {
@@ -317,7 +282,7 @@
 		e.Service = s.Service
 		e.Slots = uint32(s.Slots)
 		e.Instance = s.Instance
-		e.Down = !ready || !d.joined.Load()
+		e.Down = !ready || !d.joined.Load() || d.refusing.Load()
 	})
 	d.routesChanged()
 }
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -71,8 +71,9 @@
 type httpCluster struct {
 	t     *testing.T
 	store *fakeStore
-	// stopDelay is the minimum time for which a stopping daemon accepts requests.
-	stopDelay time.Duration
+	// stopDelay is the minimum time for which a stopping daemon accepts requests, stopTimeout the maximum duration
+	// of a stop.
+	stopDelay, stopTimeout time.Duration
 	// zones is the number of availability zones, to which instances are added in turn.
 	zones int
 	g     errgroup.Group
@@ -114,7 +115,7 @@
 }
 
 func newHTTPCluster(t *testing.T) *httpCluster {
-	s := &httpCluster{t: t, zones: 1, stopDelay: 300 * time.Millisecond, store: &fakeStore{kv: fakekv.New(time.Now)}}
+	s := &httpCluster{t: t, zones: 1, stopDelay: 300 * time.Millisecond, stopTimeout: 3 * time.Second, store: &fakeStore{kv: fakekv.New(time.Now)}}
 	s.base = netip.AddrFrom4([4]byte{127, byte(10 + clusters.Add(1)%200), 77, 0})
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
@@ -250,8 +251,8 @@
 func (n *httpNode) run() {
 	n.t.Helper()
 	text := fmt.Sprintf("[daemon]\nid = %s\nregion = r\nzone = %s\naddr = %s\nhttp = %s\nprobe = 200ms\n[front]\noutbound = %s\ninbound = %s\nready = %s\ncontrol = %s\n"+
-		"stop_wait = %s\nstop_most = 3s\n[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n[server]\nservice = %s\naddr = %s\n",
-		n.id, n.zone, n.addr(17400), n.addr(17401), n.outboundAddr, n.addr(17403), n.readyAddr, n.controlAddr, n.stopDelay, n.storeAddr, n.service, n.serverAddr)
+		"stop_wait = %s\nstop_most = %s\n[platform]\naddr = %s\nreads = 1000\nwrites = 1000\n[server]\nservice = %s\naddr = %s\n",
+		n.id, n.zone, n.addr(17400), n.addr(17401), n.outboundAddr, n.addr(17403), n.readyAddr, n.controlAddr, n.stopDelay, n.stopTimeout, n.storeAddr, n.service, n.serverAddr)
 	cfg, err := config.Parse("test", []byte(text))
 	if err != nil {
 		n.t.Fatal(err)
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -269,7 +269,7 @@
 		Self: i.id, Service: service, ServerAddr: i.addr(), Headers: testHeaders,
 		Policy: c.policy, Server: i.keeper.Server, OnServerDown: i.keeper.MarkDown, OnServerLeaving: i.keeper.MarkLeaving,
 		Probe:    func(_ context.Context, id string) bool { return c.probe(id) },
-		Stopping: i.stopping.Load, Closing: func() bool { return false }, Ending: func() bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
+		Stopping: i.stopping.Load, Closing: func() bool { return false }, RejectsInbound: func(time.Time) bool { return false }, RejectsNested: func(time.Time) bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
 		Quarantine: poison.New(time.Now, func(*sycapb.PoisonEntry) {}),
 		PeerPool:   httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, Now: time.Now}),
 		ServerPool: httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, SingleFields: testHeaders.Single(), UnsoundTime: c.unsoundTime, Now: time.Now}),
--- a/front/entry.go
+++ b/front/entry.go
@@ -57,8 +57,8 @@
 		f.writeLocalReply(w, hr, r, *errReply)
 		return
 	}
-	defer f.trackInflight()()
-	if f.Closing() && !r.nested || f.Ending() {
+	defer f.trackCaller(r)()
+	if f.isStopped(r) {
 		f.writeLocalReply(w, hr, r, localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: minRetryAfter})
 		return
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -93,9 +93,12 @@
 	// Probe probes the instance with the ID and reports whether it answered.
 	Probe func(ctx context.Context, id string) bool
 	// Stopping reports whether the daemon is about to stop: connections are closed after the response.
-	// Closing reports whether only downstream calls of running requests are still forwarded, Ending
-	// whether those would not end before the daemon does.
-	Stopping, Closing, Ending func() bool
+	// Closing reports whether requests of callers are rejected. Downstream calls of running requests are
+	// still forwarded.
+	Stopping, Closing func() bool
+	// RejectsInbound and RejectsNested report whether the daemon, because it is about to stop, rejects a
+	// request of another Front, and a downstream call, with the deadline.
+	RejectsInbound, RejectsNested func(deadline time.Time) bool
 	// Table chooses instances.
 	Table *route.Table
 	// Gate admits requests to the backend server.
@@ -120,7 +123,9 @@
 // Front is the HTTP proxy of one instance. It is safe for concurrent use.
 type Front struct {
 	Config
+	// inflight counts all requests in flight, callers those of callers.
 	inflight     atomic.Int64
+	callers      atomic.Int64
 	splitter     *splitter
 	dependencies *route.Dependencies
 	runs         *runs
@@ -148,6 +153,11 @@
 	return f.inflight.Load()
 }
 
+// InflightOfCallers returns the number of requests of callers in flight.
+func (f *Front) InflightOfCallers() int64 {
+	return f.callers.Load()
+}
+
 // Outbound returns the handler for requests of callers and downstream calls of the local backend
 // server.
 func (f *Front) Outbound() http.Handler {
@@ -165,6 +175,27 @@
 	return func() { f.inflight.Add(-1) }
 }
 
+// trackCaller counts a request at the outbound side as in flight until the returned function is called.
+func (f *Front) trackCaller(r *request) func() {
+	done := f.trackInflight()
+	if r.nested {
+		return done
+	}
+	f.callers.Add(1)
+	return func() {
+		f.callers.Add(-1)
+		done()
+	}
+}
+
+// isStopped reports whether the daemon is too close to its end for a request at the outbound side.
+func (f *Front) isStopped(r *request) bool {
+	if r.nested {
+		return f.RejectsNested(r.deadline)
+	}
+	return f.Closing()
+}
+
 // origin returns the service of this instance.
 func (f *Front) origin() string {
 	if s := f.Server(); s.Service != "" {
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -30,10 +30,6 @@
 
 // serveInbound handles a request of another Front.
 func (f *Front) serveInbound(w http.ResponseWriter, r *http.Request) {
-	if f.Closing() {
-		writeNotRun(w, r, new(request), reasonLeaving)
-		return
-	}
 	defer f.trackInflight()()
 	f.learnNotice(r.Header.Get(noticeHeader))
 	req, err := decodeHopRequest(r, f.Headers, f.Now())
@@ -42,6 +38,10 @@
 		writeNotRun(w, r, req, reasonLost)
 		return
 	}
+	if f.RejectsInbound(req.deadline) {
+		writeNotRun(w, r, req, reasonLeaving)
+		return
+	}
 	req.length = r.ContentLength
 	req.body, req.stream, err = readBody(w, r, req.deadline)
 	if err != nil || f.peerLeft(r.Context()) {
