front: a time left that fits into no duration counts as none

Callers that wait very long got 503 at once. A number of milliseconds above what a time.Duration holds became a negative one on x86-64 and the longest one on arm64; NaN became anything. Such a value counts as missing now, so the timeout of the route holds.

Found by reading all conversions of floats and integers to durations: the heartbeat's, the configuration's and those of packets are bounded already.

--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -334,13 +334,17 @@
 
 // request sends one request to an instance over a new connection.
 func (i *instance) request(method, path, id, body string) result {
+	return i.raw(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nT-Request: %s\r\nT-Left: 3000\r\nContent-Length: %d\r\n\r\n%s", method, path, id, len(body), body))
+}
+
+// raw sends the raw bytes of a request to an instance over a new connection.
+func (i *instance) raw(request string) result {
 	c, err := net.Dial("tcp", i.outbound.String())
 	if err != nil {
 		return result{err: err}
 	}
 	defer func() { _ = c.Close() }()
-	raw := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nT-Request: %s\r\nT-Left: 3000\r\nContent-Length: %d\r\n\r\n%s", method, path, id, len(body), body)
-	return send(c, raw)
+	return send(c, request)
 }
 
 // send writes raw bytes and reads one response.
--- a/front/request.go
+++ b/front/request.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +24,8 @@
 	queueTimeoutRatio = 1.0 / 8
 	// minQueueTimeout is the minimum queue timeout at one instance: two intervals of Gate.Tick.
 	minQueueTimeout = 100 * time.Millisecond
+	// maxTimeLeft bounds the time that a caller waits. Larger numbers do not fit into a time.Duration.
+	maxTimeLeft = 24 * time.Hour
 	// hopHeaderPrefix is the prefix of headers between Fronts; callers must not set them.
 	hopHeaderPrefix = "Syca-"
 )
@@ -117,10 +120,10 @@
 }
 
 // parseTimeLeft parses the TimeLeft header, in milliseconds. It returns fallback if the value is
-// missing or invalid.
+// missing, invalid or above maxTimeLeft.
 func parseTimeLeft(value string, fallback time.Duration) time.Duration {
 	ms, err := strconv.ParseFloat(value, 64)
-	if err != nil || ms < 0 {
+	if err != nil || math.IsNaN(ms) || ms < 0 || ms > float64(maxTimeLeft.Milliseconds()) {
 		return fallback
 	}
 	return time.Duration(ms * float64(time.Millisecond))
