--- a/bench/soak.go
+++ b/bench/soak.go
@@ -269,8 +269,8 @@
 		"stop_wait = 500ms\n[platform]\naddr = %s\n[server]\nservice = %s\naddr = %s\n[control]\nretry_ratio = 0.2\nretry_slack = 49\n",
 		n.id, n.zone, at(17200), n.operatorAddr, n.outboundAddr, n.inboundAddr, n.inboundProxyAddr, at(17208), n.controlAddr, s.storeProxy.addr, n.service, n.serverProxyAddr)
 	file := filepath.Join(s.c.opt.dir, n.id+".ini")
-	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-		return errors.Wrap(err, "write daemon settings")
+	if err := writeSettings(file, text); err != nil {
+		return err
 	}
 	p, err := s.c.spawn(n.id, "sycd", "run", file)
 	if err != nil {
--- a/bench/soakrun.go
+++ b/bench/soakrun.go
@@ -3,11 +3,23 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sycamorespread.dev/runlog"
 )
 
+// writeSettings writes a settings file, unless it has the text already: a busy disk may take many seconds
+// to truncate a file, which would delay the restart of a daemon.
+func writeSettings(file, text string) error {
+	if old, err := os.ReadFile(file); err == nil && string(old) == text {
+		return nil
+	}
+	return errors.Wrap(os.WriteFile(file, []byte(text), 0o644), "write daemon settings")
+}
+
 // outcomeOf returns the outcome of a request that took some time, in the log of the run.
 func outcomeOf(res callResult, took time.Duration) runlog.Outcome {
 	switch {
