--- a/bench/soak.go
+++ b/bench/soak.go
@@ -27,13 +27,10 @@
 )
 
 const (
-	soakUpper              = "upper"
-	soakLower              = "lower"
-	soakBase               = "base"
-	soakZones              = 3
-	soakCallersPerInstance = 2
-	// soakRequestDelay is the delay between two requests of a caller.
-	soakRequestDelay = 15 * time.Millisecond
+	soakUpper = "upper"
+	soakLower = "lower"
+	soakBase  = "base"
+	soakZones = 3
 	// soakRecoveryTime is the time without faults at the end of a run. The success ratio is measured
 	// in the last soakMeasuredTime of it.
 	soakRecoveryTime = 14 * time.Second
@@ -168,14 +165,15 @@
 	if err := s.start(ctx, size); err != nil {
 		return err
 	}
-	began := time.Now()
+	began := time.Now().Add(soakWarmupTime)
 	end := began.Add(dur)
 	s.log = runlog.NewRecorder(s.name(), s.seed, began)
-	s.g.Go(func() error { return s.injectFaults(ctx, end.Add(-soakRecoveryTime)) })
-	for i, n := range s.instances {
-		for k := range soakCallersPerInstance {
-			s.g.Go(func() error { return s.runCaller(ctx, n, fmt.Sprintf("c%d-%d", i, k)) })
-		}
+	s.g.Go(func() error {
+		sleepFor(ctx, time.Until(began))
+		return s.injectFaults(ctx, end.Add(-soakRecoveryTime))
+	})
+	s.startCallers(ctx)
+	for _, n := range s.instances {
 		s.g.Go(func() error { return s.watchRevision(ctx, n) })
 	}
 	sleepFor(ctx, time.Until(end)-soakMeasuredTime)
@@ -395,11 +393,13 @@
 	return callResult{status: resp.StatusCode, body: string(b), id: resp.Header.Get(names.RequestID), header: resp.Header}
 }
 
-// runCaller sends requests to one instance until ctx ends. It reuses its connections as long as the
+// runCaller sends requests to one instance at an interval until ctx ends. It reuses its connections as long as the
 // daemon's process lives.
-func (s *soak) runCaller(ctx context.Context, n *soakInstance, name string) error {
+func (s *soak) runCaller(ctx context.Context, n *soakInstance, name string, interval time.Duration) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
 	h := &http.Client{Transport: &http.Transport{}}
-	for i := 0; sleepFor(ctx, soakRequestDelay); i++ {
+	for i := 0; awaitTick(ctx, tick); i++ {
 		id := fmt.Sprintf("%s-%d", name, i)
 		path := "/view/x"
 		if i%3 == 0 {
--- a/bench/soakrun.go
+++ b/bench/soakrun.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,6 +12,44 @@
 	"sycamorespread.dev/runlog"
 )
 
+const (
+	// soakWarmupTime is the time in which all callers start, before their traffic is logged.
+	soakWarmupTime         = time.Second
+	soakCallersPerInstance = 8
+	// soakRequestInterval is the time between the starts of two requests of a caller. It is well above their
+	// latency, so that the demand is the same throughout a run and what is served can be compared.
+	soakRequestInterval = 100 * time.Millisecond
+	// slowRequestInterval is that interval in a soak whose requests cost more.
+	slowRequestInterval = 240 * time.Millisecond
+)
+
+// startCallers starts the callers of all instances. Their requests are spread over the interval.
+func (s *soak) startCallers(ctx context.Context) {
+	interval := soakRequestInterval
+	if s.deep || s.long {
+		interval = slowRequestInterval
+	}
+	total := time.Duration(len(s.instances) * soakCallersPerInstance)
+	for i, n := range s.instances {
+		for k := range soakCallersPerInstance {
+			s.g.Go(func() error {
+				sleepFor(ctx, interval*time.Duration(k*len(s.instances)+i)/total)
+				return s.runCaller(ctx, n, fmt.Sprintf("c%d-%d", i, k), interval)
+			})
+		}
+	}
+}
+
+// awaitTick waits for a tick, and returns false if ctx ends first.
+func awaitTick(ctx context.Context, t *time.Ticker) bool {
+	select {
+	case <-t.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // writeSettings writes a settings file, unless it has the text already: a busy disk may take many seconds
 // to truncate a file, which would delay the restart of a daemon.
 func writeSettings(file, text string) error {
--- a/runlog/runlog.go
+++ b/runlog/runlog.go
@@ -90,11 +90,14 @@
 	return &Recorder{run: Run{Name: name, Seed: seed, Began: began}, running: map[int]bool{}}
 }
 
-// Add counts a request that ended at a time.
+// Add counts a request that ended at a time, unless it ended before the start of the traffic.
 func (r *Recorder) Add(at time.Time, o Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	second := max(0, int(at.Sub(r.run.Began)/time.Second))
+	if at.Before(r.run.Began) {
+		return
+	}
+	second := int(at.Sub(r.run.Began) / time.Second)
 	r.run.grow(second + 1)
 	r.run.Seconds[second].Add(o)
 }
--- a/runlog/runlog_test.go
+++ b/runlog/runlog_test.go
@@ -122,7 +122,7 @@
 	r := runlog.NewRecorder("soak", 1, began)
 	endKill := r.StartFault(at(500), "kill", "a")
 	r.StartFault(at(1500), "pause", "b")
-	for ms, o := range map[int]runlog.Outcome{0: runlog.Served, 999: runlog.Shed, 1000: runlog.Late, 3100: runlog.Lost, 3600: runlog.Served} {
+	for ms, o := range map[int]runlog.Outcome{-1: runlog.Lost, 0: runlog.Served, 999: runlog.Shed, 1000: runlog.Late, 3100: runlog.Lost, 3600: runlog.Served} {
 		r.Add(at(ms), o)
 	}
 	endKill(at(900))
