--- a/bench/soak.go
+++ b/bench/soak.go
@@ -100,7 +100,7 @@
 	var runFile string
 	cmd := &cobra.Command{Use: "soak", Short: "Inject random faults into the programs on the users' platform", Args: cobra.NoArgs}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the fault schedule")
-	cmd.Flags().DurationVar(&dur, "duration", 40*time.Second, "duration of the run, with the fault-free time at its end")
+	cmd.Flags().DurationVar(&dur, "duration", 40*time.Second, "duration of the run after its first fault-free seconds, with the fault-free time at its end")
 	cmd.Flags().IntVar(&size, "size", 9, "instances")
 	cmd.Flags().BoolVar(&deep, "deep", false, "three services that call each other, with unsound servers and a store that is restored from copies")
 	cmd.Flags().BoolVar(&long, "long", false, "uploads with long bodies, servers that answer them early or in half, and heartbeats of other writers")
@@ -166,10 +166,10 @@
 		return err
 	}
 	began := time.Now().Add(soakWarmupTime)
-	end := began.Add(dur)
+	end := began.Add(soakBaselineTime + dur)
 	s.log = runlog.NewRecorder(s.name(), s.seed, began)
 	s.g.Go(func() error {
-		sleepFor(ctx, time.Until(began))
+		sleepFor(ctx, time.Until(began)+soakBaselineTime)
 		return s.injectFaults(ctx, end.Add(-soakRecoveryTime))
 	})
 	s.startCallers(ctx)
@@ -180,7 +180,7 @@
 	s.setMeasuring(true)
 	sleepFor(ctx, time.Until(end))
 	s.setMeasuring(false)
-	s.writeLog(end)
+	s.checkServed(end)
 	s.checkInForce(ctx)
 	return s.evaluate()
 }
--- a/bench/soakrun.go
+++ b/bench/soakrun.go
@@ -14,7 +14,10 @@
 
 const (
 	// soakWarmupTime is the time in which all callers start, before their traffic is logged.
-	soakWarmupTime         = time.Second
+	soakWarmupTime = time.Second
+	// soakBaselineTime is the time without faults at the start of the callers' traffic. What is served in it
+	// is compared with what is served at the end of the run.
+	soakBaselineTime       = runlog.Window * time.Second
 	soakCallersPerInstance = 8
 	// soakRequestInterval is the time between the starts of two requests of a caller. It is well above their
 	// latency, so that the demand is the same throughout a run and what is served can be compared.
@@ -89,13 +92,18 @@
 	return "soak"
 }
 
-// writeLog writes the log of the run, whose traffic ended at a time.
-func (s *soak) writeLog(end time.Time) {
+// checkServed checks that the last seconds of the traffic serve as much as its first ones, and writes
+// the log of the run.
+func (s *soak) checkServed(end time.Time) {
 	if now := time.Now(); now.Before(end) {
 		end = now
 	}
 	run := s.log.Finish(end)
-	fmt.Println("soak:", run.Verdict())
+	v := run.Verdict()
+	fmt.Println("soak:", v)
+	if !v.IsComplete() || !v.Recovered() {
+		s.recordViolation("served", "-", v.String())
+	}
 	if err := writeRun(s.c.opt.runFile, run); err != nil {
 		s.recordViolation("log", "-", err.Error())
 	}
