httpc: idempotent requests avoid used connections only if they often meet stray bytes

The pool now averages how many uses of its connections met stray bytes, and idempotent requests avoid used connections above one in ten. Requests that must run once avoid them as before, and their connections are closed.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -39,7 +39,7 @@
 	// serverIdleTimeout is how long an idle connection to the backend server is kept if the server sets no timeout.
 	serverIdleTimeout = 4 * time.Second
 	// unsoundTime is how long a backend server counts as unsound after bytes that belong to no request. Meanwhile
-	// about ten kept connections show whether it still sends them.
+	// idempotent requests, or about ten kept connections, show whether it still sends them.
 	unsoundTime = 10 * time.Second
 	// outboundIdleTimeout is how long an idle connection of a caller is kept.
 	outboundIdleTimeout = 75 * time.Second
--- a/httpc/request.go
+++ b/httpc/request.go
@@ -318,7 +318,7 @@
 	if complete && x.c.br.Buffered() > 0 {
 		x.p.recordStray(x.c, StrayAfter)
 	}
-	if !x.stop() || !x.isReusable(resp, complete) || !x.p.mayKeep(x.c.addr) {
+	if !x.stop() || !x.isReusable(resp, complete) || !x.p.mayKeep(x.c, x.req.Once) {
 		x.abort()
 		return
 	}
--- a/httpc/stray.go
+++ b/httpc/stray.go
@@ -28,17 +28,32 @@
 	Carried int
 }
 
-// keepInterval is the time between two connections to an unsound server that are kept.
-const keepInterval = time.Second
+const (
+	// keepInterval is the time between two connections to an unsound server that are kept to test it.
+	keepInterval = time.Second
+	// strayWeight is the weight of one use of a connection in unsoundServer.strayRatio.
+	strayWeight = 0.05
+	// maxStrayRatio is the ratio of uses that meet stray bytes above which idempotent requests avoid used
+	// connections, too. Each such use costs a retry; this is half of the usual ratio of retries.
+	maxStrayRatio = 0.1
+)
 
 // unsoundServer is a server that has sent bytes that belong to no request.
 type unsoundServer struct {
-	// strayAt is when it last did so, keptAt when a connection to it was last kept.
+	// strayAt is when it last did so, keptAt when a connection to it was last kept to test it.
 	strayAt, keptAt time.Time
+	// strayRatio is the moving average of the ratio of uses of connections, after their first one, that
+	// met such bytes.
+	strayRatio float64
+}
+
+// avoidsUsed reports whether idempotent requests avoid connections that have carried requests.
+func (u *unsoundServer) avoidsUsed() bool {
+	return u.strayRatio > maxStrayRatio
 }
 
-// recordStray records that the server of a connection sent bytes that belong to no request. It closes
-// the idle connections to the server, where more of them may arrive.
+// recordStray records that the server of a connection sent bytes that belong to no request. If it does so
+// often, its idle connections are closed, since more of them may arrive there.
 func (p *Pool) recordStray(c *conn, place StrayPlace) {
 	now := p.cfg.Now()
 	p.mu.Lock()
@@ -48,8 +63,10 @@
 		p.unsound[c.addr] = u
 	}
 	u.strayAt = now
+	u.strayRatio += strayWeight * (1 - u.strayRatio)
+	avoidsUsed := u.avoidsUsed()
 	p.mu.Unlock()
-	if p.cfg.UnsoundTime > 0 {
+	if avoidsUsed && p.cfg.UnsoundTime > 0 {
 		p.CloseIdle(c.addr)
 	}
 	if p.cfg.OnStray != nil {
@@ -75,16 +92,23 @@
 	return u
 }
 
-// mayKeep reports whether a connection may carry a further request. Of those to an unsound server one is
-// kept each keepInterval, for an idempotent request that shows whether the server is sound again.
-func (p *Pool) mayKeep(addr netip.AddrPort) bool {
+// mayKeep reports whether a connection may carry a further request after one without stray bytes. While
+// its server is unsound, those of requests that must run once are closed, as the next such request
+// needs another one. One is kept each keepInterval nevertheless, to test whether the server is sound again.
+func (p *Pool) mayKeep(c *conn, once bool) bool {
 	now := p.cfg.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := p.unsoundAt(addr, now)
+	u := p.unsoundAt(c.addr, now)
 	if u == nil {
 		return true
 	}
+	if c.carried > 0 {
+		u.strayRatio -= strayWeight * u.strayRatio
+	}
+	if !once && !u.avoidsUsed() {
+		return true
+	}
 	if now.Sub(u.keptAt) < keepInterval {
 		return false
 	}
