--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -151,3 +151,30 @@
 	}
 	two.run()
 }
+
+func TestTwoServersOfAServiceAreAwayAtOnce(t *testing.T) {
+	t.Parallel()
+	one, two := newTrio(t)
+	first, second := two[0], two[1]
+	first.stop()
+	second.stop()
+	var err error
+	select {
+	case err = <-first.done:
+	case err = <-second.done:
+		first, second = second, first
+	}
+	if err != nil {
+		t.Error(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if len(second.done) > 0 {
+		t.Errorf("%s ended while %s was away", second.id, first.id)
+	}
+	first.run()
+	one.eventually(5*time.Second, "ready", first.isReady)
+	if err := <-second.done; err != nil {
+		t.Error(err)
+	}
+	second.run()
+}
