route: an outage that is over keeps no calls away

After a crash of a backend server beside a daemon that went on, other daemons sent it no calls for up to 2 s though it was back: each of the calls in flight counted as a further failure in a row, so one crash with four of them brought the longest backoff. After a cut, the calls that had timed out made the server count as slow, and it got fewer calls until 3 s after its last one.

Calls that fail during a backoff no longer lengthen it. When the daemon of a target says that its server is back, or the target can be reached again, failures and latencies from before are forgotten.

TestWellServerGetsLessThanItsShare, any mix of stops, starts, crashes and cuts: a second after the last one each server gets at least half of its share.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -91,7 +91,11 @@
 	if !unreachable {
 		return
 	}
-	backoff := min(minBackoff<<min(c.failures, 8), maxBackoff)
+	now := a.table.now()
+	if now.Before(c.avoidUntil) {
+		// The failure began the backoff with others that were in flight.
+		return
+	}
+	c.avoidUntil = now.Add(min(minBackoff<<min(c.failures, 8), maxBackoff))
 	c.failures++
-	c.avoidUntil = a.table.now().Add(backoff)
 }
--- a/route/route.go
+++ b/route/route.go
@@ -164,6 +164,9 @@
 			unreachable := ok && c.unreachable
 			c = &candidate{levels: map[string]reportedLevel{}, stats: map[string]*methodStats{}, unreachable: unreachable}
 		}
+		if ok && c.target.ByIDOnly && !target.ByIDOnly {
+			c.forget()
+		}
 		if c.hash == 0 {
 			c.hash = xxhash.Sum64String(t.Self + "/" + target.ID)
 		}
@@ -235,9 +238,20 @@
 	if c, ok := t.byID[id]; ok {
 		c.unreachable = unreachable
 		c.avoidUntil = time.Time{}
+		if !unreachable {
+			c.forget()
+		}
 	}
 }
 
+// forget drops what calls told about the target before its backend server or the
+// connection to it came back: failures and latencies of an outage that is over.
+func (c *candidate) forget() {
+	c.avoidUntil = time.Time{}
+	c.failures = 0
+	c.stats = map[string]*methodStats{}
+}
+
 // Has reports whether the table has a target with the given ID.
 func (t *Table) Has(id string) bool {
 	t.mu.Lock()
