front, route, stats: shed requests tell the slots that were known to be free

On-call could not see from logs or metrics that requests were shed while servers of the service had free slots; it took the run lines of all instances to find it. The line of a shed request now has free_percent, the share of the slots of its service that the entry knew to be free, and request.shed_free_percent is its histogram. Known is what the targets that can be reached reported in the last second.

--- a/front/accesslog.go
+++ b/front/accesslog.go
@@ -60,6 +60,11 @@
 	if r.log.retryAfter > 0 {
 		p.Int("retry_after_ms", r.log.retryAfter.Milliseconds())
 	}
+	if outcome == reasonShed {
+		freePercent := int64(100 * f.Table.FreeRatio(r.service))
+		f.Stats.Shed(freePercent)
+		p.Int("free_percent", freePercent)
+	}
 	if r.log.hasLevel {
 		p.Int("admits", int64(r.log.level)).Int("admits_age_ms", r.log.levelAge.Milliseconds())
 	}
--- a/route/stopping_test.go
+++ b/route/stopping_test.go
@@ -123,3 +123,20 @@
 		}
 	}
 }
+
+func TestFreeRatioCountsKnownSlots(t *testing.T) {
+	convey.Convey("Of three servers, one full, one with eight free slots and one that did not report", t, func() {
+		now := time.Unix(1000, 0)
+		tab := stoppingTable(&now)
+		report(tab, "plots-0", 15, action.AdmitAll)
+		report(tab, "plots-1", 2, action.AdmitAll)
+		convey.So(tab.FreeRatio(service), convey.ShouldAlmostEqual, 8.0/30)
+		convey.Convey("none is known to be free when the reports are old or the server can't be reached", func() {
+			tab.SetUnreachable("plots-1", true)
+			convey.So(tab.FreeRatio(service), convey.ShouldEqual, 0)
+			tab.SetUnreachable("plots-1", false)
+			now = now.Add(2 * time.Second)
+			convey.So(tab.FreeRatio(service), convey.ShouldEqual, 0)
+		})
+	})
+}
--- a/route/view.go
+++ b/route/view.go
@@ -39,3 +39,19 @@
 	})
 	return rows
 }
+
+// FreeRatio returns the share of the slots of a service that are known to be free: by what the targets
+// that this daemon can reach reported within loadTTL.
+func (t *Table) FreeRatio(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	slots, free := 0.0, 0.0
+	for _, c := range t.services[service] {
+		slots += float64(c.target.Slots)
+		if !c.unreachable && now.Sub(c.loadAt) <= loadTTL {
+			free += float64(c.target.Slots) * max(0, 1-c.utilization(now))
+		}
+	}
+	return free / max(1, slots)
+}
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -37,10 +37,14 @@
 }
 
 func (s *Set) observe(name string, d time.Duration) {
+	s.sample(name, d.Microseconds())
+}
+
+func (s *Set) sample(name string, v int64) {
 	h := s.reg.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, decayAlpha))
 	})
-	h.(metrics.Histogram).Update(d.Microseconds())
+	h.(metrics.Histogram).Update(v)
 }
 
 // Entry records the outcome and duration of one call from a caller.
@@ -74,6 +78,12 @@
 	s.observe("request.us", d)
 }
 
+// Shed records the share of the slots of its service, in percent, that were known to be free when a
+// request was shed.
+func (s *Set) Shed(freePercent int64) {
+	s.sample("request.shed_free_percent", freePercent)
+}
+
 // Run records the outcome of one request at the ingress, with its time in the
 // queue and at the backend server.
 func (s *Set) Run(outcome string, queueWait, runTime time.Duration) {
