daemon, life: a health check with a number of slots out of range is ignored

A restarted daemon got no requests from other daemons until the next heartbeat of its server: it had taken a number of slots above 100,000 from a health check, and other daemons drop a member entry with such a number. Heartbeats and member entries were bounded before, health checks were not. One constant bounds all three now. An ignored health check is repeated.

TestOddSlotsOfAHealthCheckAreBelieved failed before (not served within 5 s).

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -250,7 +250,7 @@
 		d.serverLeaving(id, time.Time{})
 		return
 	}
-	if resp.Status != http.StatusOK || id == "" || err != nil || slots < 1 {
+	if resp.Status != http.StatusOK || id == "" || err != nil || slots < 1 || slots > life.MaxSlots {
 		d.log.WithFields(logrus.Fields{"status": resp.Status, "instance": id}).Info("health check response does not identify the backend server")
 		return
 	}
--- a/daemon/probe_test.go
+++ b/daemon/probe_test.go
@@ -74,3 +74,25 @@
 	two.restart()
 	s.awaitServed(5*time.Second, one, "two")
 }
+
+// A number of slots out of range was taken from a health check; other daemons drop an entry with it.
+func TestOddSlotsOfAHealthCheckAreBelieved(t *testing.T) {
+	h := platform.Headers()
+	s := newHTTPCluster(t)
+	s.configure(7, "two")
+	one, two := s.add("one"), s.add("two")
+	var checks atomic.Int64
+	two.serveRaw(func(w io.Writer, r *http.Request, _ bool) {
+		if r.URL.Path != "/health" {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\nContent-Length: 8\r\n\r\nfrom two", h.RequestID, r.Header.Get(h.RequestID), h.Signature)
+			return
+		}
+		slots := "9000000000000000000"
+		if checks.Add(1) > 1 {
+			slots = "4"
+		}
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: i-two-1\r\n%s: 0,0,%s\r\nContent-Length: 0\r\n\r\n", h.Instance, h.Load, slots)
+	})
+	two.restart()
+	s.awaitServed(5*time.Second, one, "two")
+}
--- a/life/life.go
+++ b/life/life.go
@@ -23,6 +23,9 @@
 // for some seconds, at times many, before they exit.
 const lateReportTimeout = 30 * time.Second
 
+// MaxSlots is the maximum number of slots of a backend server.
+const MaxSlots = 100_000
+
 // State is the lifecycle state of a backend server.
 type State int
 
--- a/member/valid.go
+++ b/member/valid.go
@@ -7,14 +7,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sycamorespread.dev/life"
 	"sycamorespread.dev/sycapb"
 )
 
 const (
 	// maxEntryBytes is the maximum size of an entry, so that each one fits into a packet.
 	maxEntryBytes = 1024
-	// maxSlots is the maximum number of slots of a backend server.
-	maxSlots = 100_000
 	// maxShownID is the maximum length of an ID in an EntryError, in bytes.
 	maxShownID = 100
 )
@@ -45,7 +44,7 @@
 		field = "state"
 	case e.Incarnation > maxIncarnation:
 		field = "incarnation"
-	case e.Slots > maxSlots:
+	case e.Slots > life.MaxSlots:
 		field = "slots"
 	case proto.Size(e) > maxEntryBytes:
 		field = "size"
