httpc: a Keep-Alive timeout that fits into no duration is bounded

Each request to a server with such a timeout got a new connection on x86-64, where the number of nanoseconds becomes negative; on arm64 it becomes the longest one.

TestOddKeepAliveTimeout failed before, on x86-64, for two of its three values.

--- a/httpc/conn.go
+++ b/httpc/conn.go
@@ -153,6 +153,7 @@
 			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 			seconds, err := strconv.Atoi(value)
 			if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+				seconds = min(seconds, int(maxIdleTime.Seconds()))
 				return time.Duration(idleTimeoutRatio * float64(seconds) * float64(time.Second))
 			}
 		}
