poison: an entry with the last lift has no crashes

An operator's lift had no effect at other daemons if the entry had the highest number of lifts that is accepted, as another writer may leave it: the lift made it one more, and other daemons refused that.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -204,7 +204,8 @@
 // The error is an *EntryError.
 func (r *Registry) check(in *sycapb.PoisonEntry) (*sycapb.PoisonEntry, error) {
 	switch {
-	case in.GetLifts() > maxLifts:
+	case in.GetLifts() > maxLifts, in.GetLifts() == maxLifts && len(in.Crashes) > 0:
+		// An entry with crashes can be lifted once more.
 		return nil, &EntryError{Fingerprint: in.Fingerprint, Field: "lifts"}
 	case proto.Size(in) > maxEntryBytes:
 		return nil, &EntryError{Fingerprint: in.Fingerprint, Field: "size"}
