poison: a merged entry fits into a packet

Two entries of one request, each within the limit of 1024 bytes, were merged into one above it. Other daemons refused it, so that they did not learn of its crashes. A crash that leaves no room is not added now.

--- a/poison/fuzz_test.go
+++ b/poison/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	add(&sycapb.PoisonEntry{Fingerprint: 7, Crashes: []string{"", "y"}, SeenUnixMs: -1 << 63}, &sycapb.PoisonEntry{Fingerprint: 7, Lifts: 1<<32 - 1, SeenUnixMs: 1<<63 - 1})
 	add(&sycapb.PoisonEntry{Fingerprint: 7, Lifts: 1_000_000, Crashes: []string{"x"}, SeenUnixMs: 1_000_000}, &sycapb.PoisonEntry{})
 	add(&sycapb.PoisonEntry{Fingerprint: 7, Lifts: 1 << 20, Crashes: []string{"x", "y"}, SeenUnixMs: 1_000_000}, &sycapb.PoisonEntry{})
+	add(&sycapb.PoisonEntry{Fingerprint: 7, Crashes: []string{strings.Repeat("x", 900)}, SeenUnixMs: 1_000_000}, &sycapb.PoisonEntry{Fingerprint: 7, Crashes: []string{strings.Repeat("y", 900)}, SeenUnixMs: 1_000_000})
 	f.Fuzz(func(t *testing.T, rawA, rawB []byte) {
 		a, b := new(sycapb.PoisonEntry), new(sycapb.PoisonEntry)
 		if proto.Unmarshal(rawA, a) != nil || proto.Unmarshal(rawB, b) != nil {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -281,7 +281,7 @@
 	}
 	added := false
 	for _, id := range in.Crashes {
-		if !slices.Contains(e.Crashes, id) && needsCrash(e, id) {
+		if !slices.Contains(e.Crashes, id) && needsCrash(e, id) && hasRoom(e, id) {
 			e.Crashes = append(e.Crashes, id)
 			added = true
 		}
@@ -343,6 +343,11 @@
 	return own < crashesToQuarantine
 }
 
+// hasRoom reports whether an entry with a further crash is within maxEntryBytes.
+func hasRoom(e *sycapb.PoisonEntry, id string) bool {
+	return proto.Size(e)+proto.Size(&sycapb.PoisonEntry{Crashes: []string{id}}) <= maxEntryBytes
+}
+
 // State returns the state of a request.
 func (r *Registry) State(fp Fingerprint) State {
 	r.mu.Lock()
