policy: a stored change that no registry can have written is rejected

Three odd entries under policy/change/ in the store misled an accept: a change on the last revision came into force as revision 0; a change with the ID of another one became the head under that ID; a change whose base is not before it made the accept read the store until its deadline. A change must name its own key and a base below the last revision, and the history must go back with each step.

--- a/policy/registry.go
+++ b/policy/registry.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,6 +61,15 @@
 	return e.Problem
 }
 
+// ChangeError reports a stored change that no Registry can have written.
+type ChangeError struct {
+	ID, Field string
+}
+
+func (e *ChangeError) Error() string {
+	return fmt.Sprintf("stored change %q: invalid %s", e.ID, e.Field)
+}
+
 // UnknownOutcomeError reports an accept whose outcome could not be determined.
 // Retrying it is safe.
 type UnknownOutcomeError struct {
@@ -130,6 +140,12 @@
 	if err := proto.Unmarshal(item.Value, c); err != nil {
 		return nil, store.Revision{}, errors.Wrapf(err, "decode change %s", id)
 	}
+	switch {
+	case c.Id != id:
+		return nil, store.Revision{}, &ChangeError{ID: id, Field: "id"}
+	case c.BaseRevision == math.MaxUint64:
+		return nil, store.Revision{}, &ChangeError{ID: id, Field: "base_revision"}
+	}
 	return c, item.Revision, nil
 }
 
@@ -232,7 +248,7 @@
 	if head.Revision <= c.BaseRevision {
 		return true, &RejectedError{Problem: fmt.Sprintf("the platform is at revision %d, older than the base %d of the change", head.Revision, c.BaseRevision)}
 	}
-	id := head.ChangeId
+	id, revision := head.ChangeId, head.Revision
 	for {
 		if id == c.Id {
 			return true, nil
@@ -241,6 +257,10 @@
 		if err != nil {
 			return false, err
 		}
+		if accepted.BaseRevision >= revision {
+			return true, &ChangeError{ID: id, Field: "base_revision"}
+		}
+		revision = accepted.BaseRevision
 		if accepted.BaseRevision <= c.BaseRevision {
 			return true, &ConflictError{AcceptedID: accepted.Id}
 		}
