httpc: the response to a HEAD request has no body

Callers got 502 for a HEAD request whose response announced a length of up to 256 KB: httpc waited for a body of that length, which such a response does not have, and took the response for lost. A longer one was passed on as a stream and arrived. All responses to HEAD requests are passed on so now, with the length that the server announced.

--- a/httpc/request.go
+++ b/httpc/request.go
@@ -65,7 +65,7 @@
 	Header http.Header
 	// Body is the complete body, unless Stream is set.
 	Body []byte
-	// Stream is the body of a response larger than Request.MaxBuffer. A read error other than io.EOF
+	// Stream is the body of a response larger than Request.MaxBuffer or to a HEAD request. A read error other than io.EOF
 	// means that the body is truncated.
 	Stream io.Reader
 	// Length is the announced length of the body, below 0 if none was announced.
@@ -259,7 +259,8 @@
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Carried: x.c.carried, Discarded: x.mismatches}
 	// Parse the header now, as the caller may modify it before the exchange ends.
 	x.c.idleTimeout = parseIdleTimeout(resp.Header, x.p.cfg.IdleTimeout)
-	if resp.ContentLength > x.req.MaxBuffer {
+	// The response to a HEAD request announces the length of a body that it does not have.
+	if resp.ContentLength > x.req.MaxBuffer || x.req.Method == http.MethodHead {
 		x.streamBody(out, resp, nil)
 		return out, nil
 	}
