--- a/bench/soakproxy.go
+++ b/bench/soakproxy.go
@@ -156,7 +156,8 @@
 		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
-				_ = src.Close()
+				// The error of a reset may come here in place of the other direction.
+				resetConn(src)
 				return werr
 			}
 		}
