bench: the soak's fault proxies outlast a failed accept

A proxy ended when it could not accept a connection, and then every new connection through it hung. Now the error is printed and the proxy goes on.

--- a/bench/soakproxy.go
+++ b/bench/soakproxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -114,9 +115,15 @@
 	})()
 	for {
 		c, err := d.l.Accept()
-		if err != nil {
+		if ctx.Err() != nil {
 			return g.Wait()
 		}
+		if err != nil {
+			// The process may be out of file descriptors for a moment.
+			fmt.Printf("proxy=%s err=%v\n", d.addr, err)
+			sleepFor(ctx, proxyPollInterval)
+			continue
+		}
 		g.Go(func() error {
 			d.handle(ctx, c)
 			return nil
