--- a/httpc/pool_test.go
+++ b/httpc/pool_test.go
@@ -16,6 +16,9 @@
 	"sycamorespread.dev/httpc"
 )
 
+// strayPath is the path of requests whose response is followed by bytes that belong to no request.
+const strayPath = "/stray"
+
 // serveKeepAlive responds to requests on persistent connections after 5 ms and counts the open
 // connections.
 func serveKeepAlive(t *testing.T) (netip.AddrPort, *atomic.Int64) {
@@ -36,11 +39,16 @@
 				defer open.Add(-1)
 				defer func() { _ = c.Close() }()
 				for br := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(br); err != nil {
+					r, err := http.ReadRequest(br)
+					if err != nil {
 						return nil
 					}
 					time.Sleep(5 * time.Millisecond)
-					_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+					if r.URL.Path == strayPath {
+						answer += "stray"
+					}
+					_, _ = fmt.Fprint(c, answer)
 				}
 			})
 		}
@@ -99,3 +107,35 @@
 	p.CloseExpired()
 	waitForOpen(0)
 }
+
+// A connection on which a request that must run once was sent to an unsound server can't carry another
+// one. Each stayed open, so that they exceeded the number that a server accepts.
+func TestUnsoundServerConnsKept(t *testing.T) {
+	addr, open := serveKeepAlive(t)
+	p := httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 64, UnsoundTime: time.Minute, Now: time.Now})
+	t.Cleanup(p.Close)
+	send := func(path string, once bool) {
+		t.Helper()
+		resp, err := p.Do(context.Background(), addr, &httpc.Request{Method: "POST", Target: path, Host: "h", MaxBuffer: 10, Once: once})
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Close()
+	}
+	send(strayPath, false)
+	send("/", false)
+	for range 40 {
+		send("/", true)
+	}
+	for end := time.Now().Add(2 * time.Second); open.Load() > 1 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := open.Load(); n != 1 {
+		t.Errorf("%d connections open, want that of the request that may be sent again", n)
+	}
+	dials := p.Dials()
+	send("/", false)
+	if p.Dials() != dials {
+		t.Error("a request that may be sent again was sent on a new connection")
+	}
+}
