daemon: tests of two processes use addresses of their own

Two runs of the package at the same time took the same loopback addresses: 'address already in use', servers of one run that answered daemons of the other, and a request 'not served within 5s'. The tests of the HTTP interface now take their addresses from the process as the others do.

--- a/daemon/config_test.go
+++ b/daemon/config_test.go
@@ -144,7 +144,7 @@
 	}
 	var packets [][]byte
 	for i := range members {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.base.As4()[1], 77, byte(200 + i)}), 17400)
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.base.As4()[1], s.base.As4()[2], byte(200 + i)}), 17400)
 		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			s.t.Fatal(err)
--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,7 +117,7 @@
 
 func newHTTPCluster(t *testing.T) *httpCluster {
 	s := &httpCluster{t: t, zones: 1, stopDelay: 300 * time.Millisecond, stopTimeout: 3 * time.Second, store: &fakeStore{kv: fakekv.New(time.Now)}}
-	s.base = netip.AddrFrom4([4]byte{127, byte(10 + clusters.Add(1)%200), 77, 0})
+	s.base = netip.AddrFrom4([4]byte{127, byte(10 + clusters.Add(1)%200), byte(100 + os.Getpid()%150), 0})
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
 			n.stop()
@@ -188,7 +189,7 @@
 func (s *httpCluster) add(service string) *httpNode {
 	s.t.Helper()
 	n := &httpNode{httpCluster: s, service: service, id: fmt.Sprintf("%s-%d", service, len(s.nodes)), zone: fmt.Sprintf("z%d", len(s.nodes)%s.zones)}
-	n.host = netip.AddrFrom4([4]byte{127, s.base.As4()[1], 77, byte(10 + len(s.nodes))})
+	n.host = netip.AddrFrom4([4]byte{127, s.base.As4()[1], s.base.As4()[2], byte(10 + len(s.nodes))})
 	n.serverAddr = s.serve(netip.AddrPortFrom(n.host, 0), http.HandlerFunc(n.handle)).String()
 	n.outboundAddr, n.readyAddr, n.controlAddr = n.addr(17404), n.addr(17402), n.addr(17406)
 	storeHandler := s.store.handler()
