--- a/bench/soak.go
+++ b/bench/soak.go
@@ -170,6 +170,7 @@
 		sleepFor(ctx, time.Until(began)+soakBaselineTime)
 		return s.injectFaults(ctx, end.Add(-soakRecoveryTime))
 	})
+	s.g.Go(func() error { return s.watchStalls(ctx, began) })
 	s.startCallers(ctx)
 	for _, n := range s.instances {
 		s.g.Go(func() error { return s.watchRevision(ctx, n) })
--- a/bench/soakrun.go
+++ b/bench/soakrun.go
@@ -24,6 +24,8 @@
 	soakRequestInterval = 100 * time.Millisecond
 	// slowRequestInterval is that interval in a soak whose requests cost more.
 	slowRequestInterval = 240 * time.Millisecond
+	// stallTime is the delay of the soak's own timer from which it counts as a stall of the machine.
+	stallTime = time.Second
 )
 
 // startCallers starts the callers of all instances. Their requests are spread over the interval.
@@ -43,6 +45,17 @@
 	}
 }
 
+// watchStalls prints each time in which the soak itself did not run. What is lost then says little
+// about the daemons.
+func (s *soak) watchStalls(ctx context.Context, began time.Time) error {
+	for last := time.Now(); sleepFor(ctx, proxyPollInterval); last = time.Now() {
+		if stall := time.Since(last); stall > stallTime {
+			fmt.Printf("stall=%s at=%s\n", stall.Round(time.Millisecond), last.Sub(began).Round(time.Millisecond))
+		}
+	}
+	return nil
+}
+
 // awaitTick waits for a tick, and returns false if ctx ends first.
 func awaitTick(ctx context.Context, t *time.Ticker) bool {
 	select {
