review: case 9, daemons that don't find each other after a power cut

All 30 daemons of a deployment lose power, and the nine that hold the records in the store don't come back. The other 21 write no record while they find those of the lost ones, and know no other daemon until the leases end, 30 s after the last renewal.

The case of the clock made room; it stays in the report and the lab. The stopped call, case 9 so far, is now case 10.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
   exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec target/review-lab clock review/10
+TROUBLE="${TROUBLE:-1}" exec target/review-lab nested review/10
--- a/review/lab/platform/main.go
+++ b/review/lab/platform/main.go
@@ -23,6 +23,7 @@
 	"clock":      clockCase,
 	"registry":   registryCase,
 	"stream":     streamCase,
+	"seeds":      seedsCase,
 }
 
 func main() {
