review: case 6 also covers a client that has left before the crash

With TROUBLE=left the request crashes its server 0.7 s after its start, and its client leaves after 0.3 s. The daemon no longer knows the request then, and never records it.

--- a/review/lab/platform/stream.go
+++ b/review/lab/platform/stream.go
@@ -18,20 +18,32 @@
 	shortRatio = 8
 	// exports is how often the client sends the fatal request.
 	exports = 12
+	// With TROUBLE=left a server crashes crashDelay after it began to run the request, whose client leaves after
+	// leaveDelay.
+	crashDelay = 700 * time.Millisecond
+	leaveDelay = 300 * time.Millisecond
 )
 
 // streamCase sends a request that crashes each server that runs it, while the server sends a long answer. With
-// TROUBLE=short the answer is a short one.
+// TROUBLE=short the answer is a short one. With TROUBLE=left there is none, and the client has left before the crash.
 func streamCase(l *lab, trouble bool) (int, error) {
 	f, entries, err := l.newFleet()
 	if err != nil {
 		return exitNotRun, err
 	}
 	length, sent := exportBytes, sentBytes
-	if os.Getenv("TROUBLE") == "short" {
+	wait := 6 * time.Second
+	switch os.Getenv("TROUBLE") {
+	case "short":
 		length, sent = length/shortRatio, sent/shortRatio
+	case "left":
+		wait = leaveDelay
 	}
 	f.before = func(w http.ResponseWriter, _ string) {
+		if wait == leaveDelay {
+			time.Sleep(crashDelay)
+			return
+		}
 		w.Header().Set(headerSignature, "00000000")
 		w.Header().Set("Content-Length", strconv.Itoa(length))
 		// The client may have left.
@@ -55,7 +67,9 @@
 	time.Sleep(2 * time.Second)
 	for n := range exports {
 		if trouble {
-			sendRequest(l.ctx, l.rec, clientRequest{from: entries[n%len(entries)].outbound(), method: http.MethodGet, host: "view.example", target: fatalPath, id: newID(), deadline: 4 * time.Second})
+			ctx, cancel := context.WithTimeout(l.ctx, wait)
+			sendRequest(ctx, l.rec, clientRequest{from: entries[n%len(entries)].outbound(), method: http.MethodGet, host: "view.example", target: fatalPath, id: newID(), deadline: 4 * time.Second})
+			cancel()
 		}
 		time.Sleep(comesAgain)
 	}
