front: a request that the end of a stop cuts is logged as such

The log could not tell why: the line of the call said outcome=gone, which means that the caller left, and nothing told how long the daemon and the call still had. Candidates were the end of the stop, the other daemon, the server and the caller.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -108,6 +108,7 @@
 		Probe:           d.node.Reachable,
 		Stopping:        d.leaving.Load,
 		Closing:         d.closing.Load,
+		StopEnd:         d.stopEndsAt,
 		RejectsInbound:  d.rejectsInbound,
 		RejectsNested:   d.rejectsNested,
 		Table:           d.table,
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -83,6 +83,14 @@
 	return d.closing.Load() && time.Until(*d.stopEnd.Load()) < lastCallTime && d.outlastsStop(deadline)
 }
 
+// stopEndsAt returns when the daemon ends at the latest, the zero time if it is not about to stop.
+func (d *Daemon) stopEndsAt() time.Time {
+	if end := d.stopEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // outlastsStop reports whether a request may take longer than the stop of the daemon does at most.
 func (d *Daemon) outlastsStop(deadline time.Time) bool {
 	return deadline.Add(lastResponseTime).After(*d.stopEnd.Load())
--- a/front/accesslog.go
+++ b/front/accesslog.go
@@ -68,12 +68,22 @@
 	if r.log.hasLevel {
 		p.Int("admits", int64(r.log.level)).Int("admits_age_ms", r.log.levelAge.Milliseconds())
 	}
+	f.addStop(p, r)
 	if len(r.log.attempts) > 0 {
 		p.Text("sends", strings.Join(r.log.attempts, ","))
 	}
 	p.Info(f.Log, "request")
 }
 
+// addStop adds, while the daemon stops, how long before its end and before its own deadline the request arrived.
+func (f *Front) addStop(p *logs.Pairs, r *request) {
+	end := f.StopEnd()
+	if end.IsZero() || r.deadline.IsZero() {
+		return
+	}
+	p.Int("stop_left_ms", end.Sub(r.arrived).Milliseconds()).Int("left_ms", r.deadline.Sub(r.arrived).Milliseconds())
+}
+
 // logRun logs the end of a request at the inbound side.
 func (f *Front) logRun(r *request, a *response) {
 	result := a.reason
--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -161,6 +161,22 @@
 	gate              *admit.Gate
 	outbound, inbound netip.AddrPort
 	stopping          atomic.Bool
+	// stopEnd is when the instance ends, nil if it is not about to stop.
+	stopEnd atomic.Pointer[time.Time]
+}
+
+// stopsIn makes the instance stop, and end after d.
+func (i *instance) stopsIn(d time.Duration) {
+	end := time.Now().Add(d)
+	i.stopEnd.Store(&end)
+	i.stopping.Store(true)
+}
+
+func (i *instance) stopEndsAt() time.Time {
+	if end := i.stopEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
 }
 
 // cluster is a set of instances with each other in their routing tables.
@@ -269,7 +285,7 @@
 		Self: i.id, Service: service, ServerAddr: i.addr(), Headers: testHeaders,
 		Policy: c.policy, Server: i.keeper.Server, OnServerDown: i.keeper.MarkDown, OnServerLeaving: i.keeper.MarkLeaving,
 		Probe:    func(_ context.Context, id string) bool { return c.probe(id) },
-		Stopping: i.stopping.Load, Closing: func() bool { return false }, RejectsInbound: func(time.Time) bool { return false }, RejectsNested: func(time.Time) bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
+		Stopping: i.stopping.Load, Closing: func() bool { return false }, StopEnd: i.stopEndsAt, RejectsInbound: func(time.Time) bool { return false }, RejectsNested: func(time.Time) bool { return false }, Table: i.table, Gate: i.gate, Budgets: allow.NewBudgets(0.2, 2000, time.Now),
 		Quarantine: poison.New(time.Now, func(*sycapb.PoisonEntry) {}),
 		PeerPool:   httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, Now: time.Now}),
 		ServerPool: httpc.New(httpc.Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdleConns: 8, SingleFields: testHeaders.Single(), UnsoundTime: c.unsoundTime, Now: time.Now}),
--- a/front/entry.go
+++ b/front/entry.go
@@ -223,7 +223,7 @@
 	case reasonDial, reasonLost, reasonDown, reasonMoved, reasonLeaving:
 		attempt.Fail(true)
 		return
-	case reasonCanceled, reasonTimeout:
+	case reasonCanceled, reasonStopped, reasonTimeout:
 		attempt.TimedOut(elapsed)
 		return
 	case reasonUnresponsive:
--- a/front/front.go
+++ b/front/front.go
@@ -96,6 +96,8 @@
 	// Closing reports whether requests of callers are rejected. Downstream calls of running requests are
 	// still forwarded.
 	Stopping, Closing func() bool
+	// StopEnd returns when the daemon ends at the latest, the zero time if it is not about to stop.
+	StopEnd func() time.Time
 	// RejectsInbound and RejectsNested report whether the daemon, because it is about to stop, rejects a
 	// request of another Front, and a downstream call, with the deadline.
 	RejectsInbound, RejectsNested func(deadline time.Time) bool
@@ -196,6 +198,14 @@
 	return f.Closing()
 }
 
+// cancelReason returns why the context of a request was canceled.
+func (f *Front) cancelReason() string {
+	if end := f.StopEnd(); !end.IsZero() && !f.Now().Before(end) {
+		return reasonStopped
+	}
+	return reasonCanceled
+}
+
 // origin returns the service of this instance.
 func (f *Front) origin() string {
 	if s := f.Server(); s.Service != "" {
--- a/front/hop.go
+++ b/front/hop.go
@@ -70,11 +70,11 @@
 	case unresponsive:
 		return unknownResponse(reasonUnresponsive)
 	case dialFailed:
-		return notRunResponse(reasonCanceled)
+		return notRunResponse(f.cancelReason())
 	case errors.Is(cause, context.DeadlineExceeded):
 		return unknownResponse(reasonTimeout)
 	case ctx.Err() != nil:
-		return unknownResponse(reasonCanceled)
+		return unknownResponse(f.cancelReason())
 	}
 	return unknownResponse(reasonLost)
 }
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -136,7 +136,7 @@
 	defer release()
 	permit, err := f.Gate.Acquire(ctx, admit.Call{Key: r.key, Nested: r.nested, Method: r.route.Name, Deadline: r.deadline, QueueTimeout: r.queueTimeout(arrived)})
 	if err != nil {
-		return admitErrResponse(err)
+		return f.admitErrResponse(err)
 	}
 	result := admit.NoResponse
 	defer func() { permit.Release(result) }()
@@ -153,7 +153,7 @@
 }
 
 // admitErrResponse maps an error of Gate.Acquire to a response.
-func admitErrResponse(err error) *response {
+func (f *Front) admitErrResponse(err error) *response {
 	var deadlineErr *admit.DeadlineError
 	var shedErr *admit.ShedError
 	switch {
@@ -166,7 +166,7 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		return notRunResponse(reasonTooLate)
 	}
-	return notRunResponse(reasonCanceled)
+	return notRunResponse(f.cancelReason())
 }
 
 // callServer sends a request to the backend server and validates the response.
@@ -313,7 +313,7 @@
 	var dialErr *httpc.DialError
 	if errors.As(err, &dialErr) {
 		if ctx.Err() != nil {
-			return notRunResponse(reasonCanceled), admit.NoResponse
+			return notRunResponse(f.cancelReason()), admit.NoResponse
 		}
 		f.Log.WithFields(f.logFields(r)).WithField("err", err).Warn("backend server unreachable")
 		f.OnServerDown(s.Instance)
@@ -328,7 +328,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return unknownResponse(reasonTimeout), admit.NoResponse
 	case ctx.Err() != nil:
-		return unknownResponse(reasonCanceled), admit.NoResponse
+		return unknownResponse(f.cancelReason()), admit.NoResponse
 	}
 	carried := 0
 	var noResponse *httpc.NoResponseError
--- a/front/response.go
+++ b/front/response.go
@@ -43,6 +43,7 @@
 	reasonLost         = "lost"       // no complete response arrived
 	reasonTimeout      = "timeout"    // no response arrived before the deadline
 	reasonCanceled     = "gone"       // the caller closed its connection
+	reasonStopped      = "stopped"    // the daemon ended before a response arrived
 	reasonQuarantined  = "quarantine" // the request is quarantined because it crashes backend servers
 	reasonNoInstance   = "noserver"   // no instance of the service is known
 	reasonCrash        = "crash"      // the backend server crashed
