front: no run outlasts the stop of its daemon

Cause: the deadline of a call was compared with the end of the stop only in the last second. A call taken before it was sent on with a deadline after the daemon's own end. The same for requests of callers and retries during a stop, for requests that were queued, and for requests of other daemons that must run once, which the sender reported as 502 while the server worked on.

From the SIGTERM on, each deadline that is handed on passes 0.2 s before the end of the stop. The server ends the run by then, so that its own response is there to be forwarded. That works because a server stops at the deadline that it receives; nothing has to be predicted. Idempotent requests of other daemons keep theirs: the sender can send them elsewhere. runs keeps the deadline a run was sent with, since a request can get a shorter one with its next attempt.

Ruled out: rejecting each call whose deadline is after the end. Nearly all calls are far shorter than the time they have left, and a rejected call fails its parent.

--- a/daemon/http_cluster_test.go
+++ b/daemon/http_cluster_test.go
@@ -175,7 +175,12 @@
 	if service != "one" && service != "two" {
 		services = append(services, policy.Service{Name: service, HealthPath: "/health", MaxConnections: 50})
 	}
-	table, err := policy.NewTable([]policy.Route{r}, services, policy.Limits{MaxBodyBytes: 100_000})
+	s.configureRoutes(version, services, r)
+}
+
+// configureRoutes writes a version of the operator's policy.
+func (s *httpCluster) configureRoutes(version uint64, services []policy.Service, routes ...policy.Route) {
+	table, err := policy.NewTable(routes, services, policy.Limits{MaxBodyBytes: 100_000})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -308,7 +313,12 @@
 
 // requestWithin sends one request of a caller that waits for timeLeft.
 func (n *httpNode) requestWithin(timeLeft time.Duration, id string) (status int, header http.Header, body string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.outboundAddr+"/x/y", strings.NewReader("b"))
+	return n.requestPath("/x/y", timeLeft, id)
+}
+
+// requestPath sends one request with a path.
+func (n *httpNode) requestPath(path string, timeLeft time.Duration, id string) (status int, header http.Header, body string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.outboundAddr+path, strings.NewReader("b"))
 	if err != nil {
 		n.t.Fatal(err)
 	}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"sycamorespread.dev/front"
 	"sycamorespread.dev/sycapb"
 )
 
@@ -18,9 +19,6 @@
 	// lastCallTime is the time before the end of a stop from which the daemon takes no calls of other daemons, and no
 	// downstream calls that may take until its end.
 	lastCallTime = time.Second
-	// lastResponseTime is the time before the end of a stop by which the deadline of a request that is still taken must
-	// pass. The Fronts wait for a response until shortly after the deadline.
-	lastResponseTime = 200 * time.Millisecond
 	// turnInterval is the time in which the other daemons of a service learn that one of them takes no more calls: a few
 	// rounds of gossip.
 	turnInterval = 300 * time.Millisecond
@@ -93,7 +91,7 @@
 
 // outlastsStop reports whether a request may take longer than the stop of the daemon does at most.
 func (d *Daemon) outlastsStop(deadline time.Time) bool {
-	return deadline.Add(lastResponseTime).After(*d.stopEnd.Load())
+	return deadline.Add(front.ResponseMargin).After(*d.stopEnd.Load())
 }
 
 // turns is the set of the other stopping daemons of the service, until they are back. Daemons that stop
--- a/front/accesslog.go
+++ b/front/accesslog.go
@@ -21,6 +21,8 @@
 	hasLevel bool
 	level    action.Level
 	levelAge time.Duration
+	// shortened is the time by which the end of the daemon's stop brought the deadline forward.
+	shortened time.Duration
 }
 
 // addAttempt records the result of one attempt.
@@ -81,7 +83,11 @@
 	if end.IsZero() || r.deadline.IsZero() {
 		return
 	}
-	p.Int("stop_left_ms", end.Sub(r.arrived).Milliseconds()).Int("left_ms", r.deadline.Sub(r.arrived).Milliseconds())
+	left := r.deadline.Sub(r.arrived) + r.log.shortened
+	p.Int("stop_left_ms", end.Sub(r.arrived).Milliseconds()).Int("left_ms", left.Milliseconds())
+	if r.log.shortened > 0 {
+		p.Int("shortened_ms", r.log.shortened.Milliseconds())
+	}
 }
 
 // logRun logs the end of a request at the inbound side.
--- a/front/entry.go
+++ b/front/entry.go
@@ -208,6 +208,7 @@
 	started := f.Now()
 	a := unknownResponse(reasonLost)
 	defer func() { f.reportResult(attempt, a, f.Now().Sub(started)) }()
+	f.endBeforeStop(r)
 	a = f.sendTo(ctx, r, attempt.Target)
 	r.log.addAttempt(attempt.Target.ID, a)
 	return a
--- a/front/front.go
+++ b/front/front.go
@@ -40,6 +40,10 @@
 	"sycamorespread.dev/stats"
 )
 
+// ResponseMargin is the time before the end of a stop by which the deadline of each request must pass. The
+// Fronts wait for a response until shortly after the deadline.
+const ResponseMargin = 200 * time.Millisecond
+
 // Headers names the header fields that callers and backend servers use.
 type Headers struct {
 	// RequestID identifies one attempt of a caller; backend servers echo it in the response.
@@ -198,6 +202,19 @@
 	return f.Closing()
 }
 
+// endBeforeStop brings the deadline of a request forward if the daemon ends before it. The backend server then
+// ends the run in time for its response to be forwarded.
+func (f *Front) endBeforeStop(r *request) {
+	end := f.StopEnd()
+	if end.IsZero() {
+		return
+	}
+	if limit := end.Add(-ResponseMargin); limit.Before(r.deadline) {
+		r.log.shortened += r.deadline.Sub(limit)
+		r.deadline = limit
+	}
+}
+
 // cancelReason returns why the context of a request was canceled.
 func (f *Front) cancelReason() string {
 	if end := f.StopEnd(); !end.IsZero() && !f.Now().Before(end) {
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -42,6 +42,7 @@
 		writeNotRun(w, r, req, reasonLeaving)
 		return
 	}
+	req.movable = req.route.Idempotent
 	req.length = r.ContentLength
 	req.body, req.stream, err = readBody(w, r, req.deadline)
 	if err != nil || f.peerLeft(r.Context()) {
@@ -172,6 +173,9 @@
 // callServer sends a request to the backend server and validates the response.
 func (f *Front) callServer(ctx context.Context, r *request) (*response, admit.RunResult) {
 	s := f.Server()
+	if !r.movable {
+		f.endBeforeStop(r)
+	}
 	f.runs.add(r, s.Start)
 	defer f.runs.remove(r)
 	sentAt := f.Now()
--- a/front/nested.go
+++ b/front/nested.go
@@ -20,15 +20,15 @@
 // inheritParent gives a downstream call of the backend server the admission key and the deadline of
 // the running request that made it. A call without a known parent is treated as a caller's request.
 func (f *Front) inheritParent(r *request) {
-	parent := f.runs.find(parentID(r.id))
-	if parent == nil {
+	parent, ok := f.runs.find(parentID(r.id))
+	if !ok {
 		return
 	}
 	r.nested = true
-	r.key = parent.key
+	r.key = parent.request.key
 	r.retry = parent.retry
 	if parent.deadline.Before(r.deadline) {
 		r.deadline = parent.deadline
 	}
-	f.dependencies.RecordCall(parent.route.Name, route.Call{Service: r.service, Method: r.route.Name}, r.arrived)
+	f.dependencies.RecordCall(parent.request.route.Name, route.Call{Service: r.service, Method: r.route.Name}, r.arrived)
 }
--- a/front/request.go
+++ b/front/request.go
@@ -45,6 +45,8 @@
 	nested bool
 	// retry is set if the request or its parent is a retry.
 	retry bool
+	// movable is set if the sending Front can send the request to another instance should this one end.
+	movable bool
 	// lates is the number of instances that rejected the request as too late.
 	lates int
 	// senderRestoresID is set if the sending Front adds the request ID to the response.
@@ -57,8 +59,6 @@
 	fingerprint poison.Fingerprint
 	// poisonState is the state of the request in the quarantine of the sending Front.
 	poisonState poison.State
-	// serverStart is the life.Server.Start to which the request was sent; runs guards it.
-	serverStart uint64
 
 	arrived  time.Time
 	deadline time.Time
--- a/front/stopped_test.go
+++ b/front/stopped_test.go
@@ -23,7 +23,8 @@
 		{id: "left", outcome: "outcome=gone", stop: func() {}},
 		{id: "cut", outcome: "outcome=stopped", stop: func() { source.stopsIn(50 * time.Millisecond) }},
 	} {
-		c.stop()
+		// The request is in flight when the stop begins.
+		time.AfterFunc(30*time.Millisecond, c.stop)
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source.outbound.String()+"/view/x", nil)
 		if err != nil {
