daemon: a stop shorter than stop_wait takes no requests in its last moment

Requests of callers are now rejected from 0.5 s before the end on, whatever stop_wait is, so that each one that is taken has time for its run and for the response.

--- a/config/config.go
+++ b/config/config.go
@@ -108,8 +108,8 @@
 	Control netip.AddrPort
 	// Metrics is the listen address that serves counters and histograms as text.
 	Metrics netip.AddrPort
-	// StopDelay is the time for which a stopping daemon still accepts requests of callers. It takes calls
-	// of other daemons for longer.
+	// StopDelay is the time for which a stopping daemon still accepts requests of callers, except shortly
+	// before the end of StopTimeout. It takes calls of other daemons for longer.
 	StopDelay time.Duration
 	// StopTimeout is the maximum duration of a stop.
 	StopTimeout time.Duration
--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -152,3 +152,40 @@
 	}
 	two.run()
 }
+
+// With a stop_wait above stop_most, requests were taken until the end of the stop and cut.
+func TestRequestOfTheLastMomentOfAStopIsCut(t *testing.T) {
+	t.Parallel()
+	s := newHTTPCluster(t)
+	s.stopDelay, s.stopTimeout = 3*time.Second, 1500*time.Millisecond
+	s.configureKinds()
+	one, two := s.add("one"), s.add("two")
+	one.obeyDeadlines()
+	s.awaitPath(two, "/y/1ms")
+	start := time.Now()
+	two.stop()
+	var g errgroup.Group
+	var served atomic.Int64
+	for at := time.Duration(0); at < s.stopTimeout; at += 20 * time.Millisecond {
+		g.Go(func() error {
+			time.Sleep(at - time.Since(start))
+			id := fmt.Sprintf("r-%s", at)
+			status, _, body := two.requestPath("/y/100ms", 5*time.Second, id)
+			if _, ran := one.ranIDs.Load(id); ran && status != http.StatusOK {
+				t.Errorf("request %s ran and got status %d %s", id, status, body)
+			}
+			if status == http.StatusOK {
+				served.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	if err := <-two.done; err != nil {
+		t.Error(err)
+	}
+	if served.Load() == 0 {
+		t.Error("no request was served")
+	}
+	two.run()
+}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -19,6 +19,9 @@
 	// lastCallTime is the time before the end of a stop from which the daemon takes no calls of other daemons, and no
 	// downstream calls that may take until its end.
 	lastCallTime = time.Second
+	// lastRequestTime is the time before the end of a stop from which the daemon takes no requests of callers, also with a
+	// longer StopDelay.
+	lastRequestTime = 500 * time.Millisecond
 	// turnInterval is the time in which the other daemons of a service learn that one of them takes no more calls: a few
 	// rounds of gossip.
 	turnInterval = 300 * time.Millisecond
@@ -38,9 +41,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	t := turns{}
-	sleep(ctx, min(announceDelay, cfg.StopDelay))
+	delay := min(cfg.StopDelay, cfg.StopTimeout-lastRequestTime)
+	sleep(ctx, min(announceDelay, delay))
 	d.node.UpdateSelf(func(e *sycapb.MemberEntry) { e.Leaving = true })
-	for left := cfg.StopDelay - time.Since(start); left > 0 && sleep(ctx, min(left, announceDelay)); left = cfg.StopDelay - time.Since(start) {
+	for left := delay - time.Since(start); left > 0 && sleep(ctx, min(left, announceDelay)); left = delay - time.Since(start) {
 		d.watchTurns(t)
 	}
 	d.closing.Store(true)
