httpc: a response with an invalid status is no response

That response was skipped like an interim one, and bytes of its body, or after its header, were taken for the final response: a signed 200 that no server had given. 600 and 999 reached the caller, and with the mark for 'not run' became a 503. The body of an interim response that announces one was taken for the final response as well.

Cause: readHeader skipped each status below 200, and the parser of net/http accepts any three characters that are a number of at least 0.

A response is now final with 200 to 599, interim with 100 to 199 and no body. All else, other versions of HTTP included, ends the exchange with its connection, so that nothing after it is read.

The same client reads the responses of daemons and of health checks. The store's client takes each status but the expected ones for an error (TestInvalidStoreStatusIsAnError, passed before), connect-go only 200 for a response.

--- a/httpc/request.go
+++ b/httpc/request.go
@@ -244,11 +244,13 @@
 			return nil, err
 		}
 		limit -= n
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		final, err := isFinal(resp)
+		if err != nil {
+			x.p.recordStray(x.c, StrayStatus)
+			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("server switched protocols")
+		if final {
+			return resp, nil
 		}
 	}
 	return nil, errors.New("too many interim responses")
--- a/httpc/stray.go
+++ b/httpc/stray.go
@@ -15,6 +15,8 @@
 	StrayBefore StrayPlace = "before"
 	// StrayInside means that a header or a body is that of more than one response.
 	StrayInside StrayPlace = "inside"
+	// StrayStatus means that they have the form of a response, but a status that HTTP does not have.
+	StrayStatus StrayPlace = "status"
 	// StrayAfter means that the bytes followed a response.
 	StrayAfter StrayPlace = "after"
 )
