front: a request is a suspect as long as its server may run it

Cause: a request stopped being one of those that run at the server with the first bytes of a long response, which also cleared it, or when its caller left. A crash in a streamed body was recorded by nobody.

The request is now among the suspects until the body has ended, and is cleared only by its complete end; a cut body is checked for a crash like a lost response. A request whose caller left is remembered until its deadline, which bounds the time a server goes on.

--- a/front/crash.go
+++ b/front/crash.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sycamorespread.dev/life"
 	"sycamorespread.dev/poison"
 )
@@ -28,11 +32,61 @@
 	return true
 }
 
+// runningBody is the body of a response that is passed on while the backend server is at work on it.
+type runningBody struct {
+	io.Reader
+	// onEnd is called once with the error that ended the body, io.EOF if it is complete.
+	onEnd func(err error)
+}
+
+// Read implements io.Reader.
+func (b *runningBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && b.onEnd != nil {
+		b.onEnd(err)
+		b.onEnd = nil
+	}
+	return n, err
+}
+
+// trackBody keeps the request among those that are running until the body of its response has ended, and
+// records a crash of the backend server that cuts the body.
+func (f *Front) trackBody(ctx context.Context, r *request, s life.Server, a *response) {
+	a.stream = &runningBody{Reader: a.stream, onEnd: func(err error) {
+		switch {
+		case errors.Is(err, io.EOF):
+			f.completed(r, a.status)
+		case ctx.Err() == nil && f.serverCrashed(ctx, s):
+			f.recordCrash(r, s)
+		}
+	}}
+	closeBody := a.close
+	a.close = func() {
+		f.endRun(ctx, r, s)
+		closeBody()
+	}
+}
+
+// endRun removes a request from those that are running. If its caller has left, the server may go on with it.
+func (f *Front) endRun(ctx context.Context, r *request, s life.Server) {
+	f.runs.remove(r)
+	if ctx.Err() != nil {
+		f.runs.depart(r, s.Start, f.Now())
+	}
+}
+
+// completed clears a suspect request that ran to its end without a crash.
+func (f *Front) completed(r *request, status int) {
+	if status < http.StatusInternalServerError {
+		f.clearSuspect(r.fingerprint)
+	}
+}
+
 // recordCrash records a crash of start s of the backend server for all requests that were running
 // there, r included. It returns the recorded ID of the crash for r, without the ID of this instance.
 func (f *Front) recordCrash(r *request, s life.Server) string {
 	detail := fmt.Sprintf("%s@%d#%d", s.Instance, f.Incarnation, s.Start)
-	f.Quarantine.RecordCrash(crashID(f.Self, detail), f.runs.suspects(s.Start))
+	f.Quarantine.RecordCrash(crashID(f.Self, detail), f.runs.suspects(s.Start, f.Now()))
 	recorded := f.Quarantine.RecordCrash(crashID(f.Self, detail), []poison.Request{r.suspect()})[0]
 	return recorded[len(crashID(f.Self, "")):]
 }
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -34,6 +34,17 @@
 			c.bad.Add(1)
 			c.crash()
 			return false
+		case req.URL.Path == "/view/long":
+			c.bad.Add(1)
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nT-Request: %s\r\nT-Signature: s\r\nContent-Length: 1000000\r\n\r\n%s", req.Header.Get(testHeaders.RequestID), strings.Repeat("x", 400_000))
+			time.Sleep(popularRunTime / 3)
+			c.crash()
+			return false
+		case req.URL.Path == "/view/left":
+			c.bad.Add(1)
+			time.Sleep(popularRunTime / 2)
+			c.crash()
+			return false
 		case req.URL.Path == "/view/popular":
 			time.Sleep(popularRunTime)
 		}
@@ -141,3 +152,56 @@
 		}
 	}
 }
+
+// A request that crashes servers while its long response is passed on was never quarantined.
+func TestCrashInALongResponseIsNotRecorded(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source := cl.add("dues")
+	server := newCrashes(t, cl.add("plots"))
+	var last result
+	for n := range 6 {
+		var g errgroup.Group
+		g.Go(func() error {
+			source.request("GET", "/view/popular", fmt.Sprint("p", n), "")
+			return nil
+		})
+		last = source.request("GET", "/view/long", fmt.Sprint("r", n), "")
+		_ = g.Wait()
+		server.revive()
+	}
+	if n := server.bad.Load(); n > 3 || last.status != http.StatusServiceUnavailable {
+		t.Errorf("the request crashed the server %d times, last status %d", n, last.status)
+	}
+	if got := source.request("GET", "/view/popular", "g", ""); got.status != http.StatusOK {
+		t.Errorf("response to another request %+v", got)
+	}
+}
+
+// A request that crashes servers after its caller has left was never quarantined.
+func TestCrashAfterItsCallerLeftIsNotRecorded(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source := cl.add("dues")
+	server := newCrashes(t, cl.add("plots"))
+	for n := range 6 {
+		var g errgroup.Group
+		g.Go(func() error {
+			source.request("GET", "/view/popular", fmt.Sprint("p", n), "")
+			return nil
+		})
+		c, err := net.Dial("tcp", source.outbound.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(c, "GET /view/left HTTP/1.1\r\nHost: h.example\r\nT-Request: l%d\r\nT-Left: 1000\r\n\r\n", n)
+		time.Sleep(popularRunTime / 4)
+		_ = c.Close()
+		_ = g.Wait()
+		server.revive()
+	}
+	if n := server.bad.Load(); n > 3 {
+		t.Errorf("the request crashed the server %d times", n)
+	}
+	if got := source.request("GET", "/view/popular", "g", ""); got.status != http.StatusOK {
+		t.Errorf("response to another request %+v", got)
+	}
+}
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -177,10 +177,10 @@
 		f.endBeforeStop(r)
 	}
 	f.runs.add(r, s.Start)
-	defer f.runs.remove(r)
 	sentAt := f.Now()
 	resp, err := f.ServerPool.Do(ctx, f.ServerAddr, f.serverRequest(r, s))
 	if err != nil {
+		defer f.endRun(ctx, r, s)
 		return f.serverError(ctx, r, s, err)
 	}
 	h := resp.Header
@@ -194,6 +194,11 @@
 	named := id == r.id || id == "" && resp.Carried == 0 && resp.Discarded == 0
 	answer, result := f.judge(r, s, resp, named)
 	answer.evidence = e
+	if answer.stream != nil {
+		f.trackBody(ctx, r, s, answer)
+	} else {
+		f.runs.remove(r)
+	}
 	return answer, result
 }
 
@@ -229,8 +234,8 @@
 		f.Log.WithFields(f.logFields(r)).WithField("status", resp.Status).Warn("backend server does not state that the rejected request did not run")
 		return unknownResponse(reasonUnproven), admit.Completed
 	}
-	if resp.Status < http.StatusInternalServerError {
-		f.clearSuspect(r.fingerprint)
+	if resp.Stream == nil {
+		f.completed(r, resp.Status)
 	}
 	h.Del(f.Headers.Load)
 	return &response{
