poison, front: a crash has one verdict

What callers saw: a harmless request is refused everywhere after three crashes that another request caused.

Cause: the daemon recorded a crash for all requests in flight, as one with several suspects, and then once more for the lost request alone. If both suspects were isolated already, the first record changed no entry, so that the second found the crash unknown and its only request the cause.

The daemon records a crash once, and the Registry keeps whether there were several suspects of the latest 64 crashes: other requests that the same crash cut find fewer in flight.

--- a/front/crash.go
+++ b/front/crash.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -86,9 +87,10 @@
 // there, r included. It returns the recorded ID of the crash for r, without the ID of this instance.
 func (f *Front) recordCrash(r *request, s life.Server) string {
 	detail := fmt.Sprintf("%s@%d#%d", s.Instance, f.Incarnation, s.Start)
-	f.Quarantine.RecordCrash(crashID(f.Self, detail), f.runs.suspects(s.Start, f.Now()))
-	recorded := f.Quarantine.RecordCrash(crashID(f.Self, detail), []poison.Request{r.suspect()})[0]
-	return recorded[len(crashID(f.Self, "")):]
+	// The request comes first, since another one may have taken its place among those that are running.
+	inflight := append([]poison.Request{r.suspect()}, f.runs.suspects(s.Start, f.Now())...)
+	recorded := f.Quarantine.RecordCrash(crashID(f.Self, detail), inflight)
+	return recorded[0][len(crashID(f.Self, "")):]
 }
 
 // crashID returns the ID of a crash among all daemons. The detail identifies it among those of the
@@ -135,5 +137,5 @@
 	case <-ctx.Done():
 		return nil, false
 	}
-	return func() { <-f.isolated }, true
+	return sync.OnceFunc(func() { <-f.isolated }), true
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -35,6 +35,9 @@
 	sharedMark = "~"
 	// maxEntries bounds the number of entries in a Registry.
 	maxEntries = 1024
+	// maxVerdicts is the number of crashes whose verdict is kept. All requests that a crash cut record it within
+	// moments.
+	maxVerdicts = 64
 	// maxEntryBytes is the maximum size of an entry, so that each one fits into a packet.
 	maxEntryBytes = 1024
 	// maxLifts is the maximum number of lifts of an entry. Each one is an operator's call.
@@ -91,6 +94,8 @@
 type Registry struct {
 	// crashMu makes RecordCrash atomic, since each request whose response was lost records the crash.
 	crashMu sync.Mutex
+	// verdicts holds whether there were several suspects of the latest crashes, the last one at the end.
+	verdicts []verdict
 
 	mu       sync.Mutex
 	now      func() time.Time
@@ -109,7 +114,7 @@
 func (r *Registry) RecordCrash(id string, inflight []Request) []string {
 	r.crashMu.Lock()
 	defer r.crashMu.Unlock()
-	shared := r.severalSuspects(id, inflight)
+	shared := r.isShared(id, inflight)
 	recorded := make([]string, len(inflight))
 	for i, req := range inflight {
 		recorded[i] = r.recordFor(id, req, shared)
@@ -117,6 +122,28 @@
 	return recorded
 }
 
+// verdict is whether there were several suspects of a crash.
+type verdict struct {
+	id     string
+	shared bool
+}
+
+// isShared returns whether there were several suspects of a crash, by the requests in flight when it was
+// first recorded: those that record it later may find fewer.
+func (r *Registry) isShared(id string, inflight []Request) bool {
+	for _, v := range r.verdicts {
+		if v.id == id {
+			return v.shared
+		}
+	}
+	if len(r.verdicts) == maxVerdicts {
+		r.verdicts = r.verdicts[1:]
+	}
+	v := verdict{id: id, shared: r.severalSuspects(id, inflight)}
+	r.verdicts = append(r.verdicts, v)
+	return v.shared
+}
+
 // severalSuspects reports whether any of several suspects may have caused a crash: more than one of
 // the requests in flight has the highest state, or the crash is known already.
 func (r *Registry) severalSuspects(id string, inflight []Request) bool {
