--- a/front/ingress.go
+++ b/front/ingress.go
@@ -134,7 +134,7 @@
 	if !ok {
 		return notRunResponse(reasonShed)
 	}
-	defer release()
+	defer func() { release() }()
 	permit, err := f.Gate.Acquire(ctx, admit.Call{Key: r.key, Nested: r.nested, Method: r.route.Name, Deadline: r.deadline, QueueTimeout: r.queueTimeout(arrived)})
 	if err != nil {
 		return f.admitErrResponse(err)
@@ -150,6 +150,15 @@
 	var resp *response
 	resp, result = f.callServer(ctx, r)
 	resp.queueTime, resp.runTime = queueTime, f.Now().Sub(started)
+	if resp.stream != nil {
+		// The backend server is at work until the end of the body.
+		closeBody, ended := resp.close, release
+		resp.close = func() {
+			closeBody()
+			ended()
+		}
+		release = func() {}
+	}
 	return resp
 }
 
