poison, front: crashes at once do not quarantine a request

Cause: any two crashes with a request in flight quarantined it. Each daemon recorded its crash without knowing of the other, so both counted as proof. Nothing can clear a request that is sent nowhere.

A crash is now recorded with whether the run began when the request was a suspect already. Two crashes without that isolate it: each server runs one at a time, so a success clears it, or a crash has one cause and quarantines it. That works since a second crash proves something only if the first was known when the request was sent. The sending daemon's knowledge travels with the request, so a retry confirms as before.

--- a/front/crash.go
+++ b/front/crash.go
@@ -105,7 +105,7 @@
 }
 
 func (r *request) suspect() poison.Request {
-	return poison.Request{Service: r.service, Method: r.route.Name, Fingerprint: r.fingerprint, Known: r.poisonState}
+	return poison.Request{Service: r.service, Method: r.route.Name, Fingerprint: r.fingerprint, Known: r.poisonState, Fresh: r.poisonState == poison.Clear}
 }
 
 // isIsolated reports whether the request is isolated, to the knowledge of this instance or of the
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -231,3 +231,40 @@
 	time.Sleep(after)
 	_ = c.Close()
 }
+
+// Two servers crashed at the same moment, and the harmless request that both ran was refused from then on.
+func TestRequestOfTwoCrashesAtOnceIsRefused(t *testing.T) {
+	cl := newCluster(t, viewRoute)
+	source, other := cl.add("dues"), cl.add("dues")
+	one, two := newCrashes(t, cl.add("plots")), newCrashes(t, cl.add("plots"))
+	var g errgroup.Group
+	for n := range 8 {
+		g.Go(func() error {
+			[]*instance{source, other}[n%2].request("GET", "/view/popular", fmt.Sprint("p", n), "")
+			return nil
+		})
+	}
+	time.Sleep(popularRunTime / 2)
+	if one.runs.Load() == 0 || two.runs.Load() == 0 {
+		t.Fatal("a server runs no request")
+	}
+	one.crash()
+	two.crash()
+	_ = g.Wait()
+	// Gossip.
+	for _, i := range cl.instances {
+		for _, e := range i.Quarantine.Entries() {
+			for _, j := range cl.instances {
+				if err := j.Quarantine.Merge(e); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	one.revive()
+	two.revive()
+	cl.syncTables()
+	if got := source.request("GET", "/view/popular", "g", ""); got.status != http.StatusOK {
+		t.Errorf("response to the harmless request %+v", got)
+	}
+}
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -185,6 +185,7 @@
 	if !r.movable {
 		f.endBeforeStop(r)
 	}
+	r.poisonState = max(r.poisonState, f.Quarantine.State(r.fingerprint))
 	f.runs.add(r, s.Start)
 	sentAt := f.Now()
 	resp, err := f.ServerPool.Do(ctx, f.ServerAddr, f.serverRequest(r, s))
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -2,11 +2,13 @@
 //
 // A daemon outlives its backend server and knows which requests were in flight
 // when the server crashed. Each of them becomes a suspect under its fingerprint,
-// the hash of method and body. Two crashes quarantine a request, unless other
-// suspects were in flight at the second one, too: any of them may be the cause.
-// They become isolated, which means that each backend server runs one of them at
+// the hash of method and body. A second crash, of a run that began when the request was
+// a suspect, quarantines it, unless other suspects were in flight: any of them may be the
+// cause. They become isolated, which means that each backend server runs one of them at
 // a time. So either the request completes and is cleared, or a further crash has
-// one cause. Daemons gossip all entries. Operators can list and lift them.
+// one cause. The same holds for a request in flight at two crashes of which neither
+// was known when it was sent: servers that crash at once have another cause more often
+// than not. Daemons gossip all entries. Operators can list and lift them.
 //
 //	registry.RecordCrash("plots-1@7", []poison.Request{{Service: "plots", Method: "get", Fingerprint: fp}})
 //	if registry.State(fp) == poison.Quarantined {
@@ -28,9 +30,11 @@
 )
 
 const (
-	// crashesToQuarantine is the number of crashes after which a request is quarantined. Crashes at which
-	// there were other suspects do not count.
+	// crashesToQuarantine is the number of crashes after which a request is quarantined, if it was a suspect
+	// already at one of them. Crashes at which there were other suspects do not count.
 	crashesToQuarantine = 2
+	// confirmMark ends the recorded ID of a crash of a run that began when its request was a suspect.
+	confirmMark = "+"
 	// sharedMark ends the recorded ID of a crash at which there were other suspects.
 	sharedMark = "~"
 	// maxEntries bounds the number of entries in a Registry.
@@ -71,9 +75,10 @@
 	Clear State = iota
 	// Suspect is a request that was in flight at one crash.
 	Suspect
-	// Isolated is a request that was in flight at a crash with other suspects.
+	// Isolated is a request that was in flight at a crash with other suspects, or at two crashes without being
+	// a suspect.
 	Isolated
-	// Quarantined is a request that was in flight at two crashes and is refused.
+	// Quarantined is a request that was in flight at two crashes, a suspect at one of them, and is refused.
 	Quarantined
 )
 
@@ -88,6 +93,17 @@
 	Fingerprint     Fingerprint
 	// Known is the state at the daemon that sent the request. This daemon may not have received it yet.
 	Known State
+	// Fresh is set if the request was not a suspect when its run began. What this daemon has learned since
+	// does not count then.
+	Fresh bool
+}
+
+// state returns the state in which the request ran. e is its entry, which may be nil.
+func (req Request) state(e *sycapb.PoisonEntry) State {
+	if req.Fresh {
+		return req.Known
+	}
+	return max(req.Known, stateOf(e))
 }
 
 // Registry holds the suspect and the quarantined requests. It is safe for concurrent use.
@@ -156,7 +172,7 @@
 	}
 	highest, suspects := Suspect, map[Fingerprint]bool{}
 	for _, req := range inflight {
-		switch state := max(req.Known, stateOf(r.entries[req.Fingerprint])); {
+		switch state := req.state(r.entries[req.Fingerprint]); {
 		case state > highest:
 			highest, suspects = state, map[Fingerprint]bool{req.Fingerprint: true}
 		case state == highest:
@@ -170,13 +186,15 @@
 func (r *Registry) recordFor(id string, req Request, shared bool) string {
 	r.mu.Lock()
 	e := r.entries[req.Fingerprint]
-	known, suspect := crashOf(e, id), max(req.Known, stateOf(e)) != Clear
+	known, suspect := crashOf(e, id), req.state(e) != Clear
 	r.mu.Unlock()
-	if known != "" {
+	switch {
+	case known != "":
 		return known
-	}
-	if shared && suspect {
+	case suspect && shared:
 		id += sharedMark
+	case suspect:
+		id += confirmMark
 	}
 	r.AddCrash(id, req)
 	return id
@@ -200,7 +218,7 @@
 // crashOf returns the ID under which an entry, which may be nil, has a crash; empty if it has not.
 func crashOf(e *sycapb.PoisonEntry, id string) string {
 	for _, crash := range e.GetCrashes() {
-		if strings.TrimSuffix(crash, sharedMark) == id {
+		if strings.TrimSuffix(strings.TrimSuffix(crash, sharedMark), confirmMark) == id {
 			return crash
 		}
 	}
@@ -279,8 +297,8 @@
 // evidence returns what of the crashes of an entry matters. Registries may keep different ones of those
 // beyond crashesToQuarantine.
 func evidence(e *sycapb.PoisonEntry) string {
-	state := stateOf(e)
-	if state == Quarantined {
+	state, n := stateOf(e), countCrashes(e)
+	if state == Quarantined || n.first >= crashesToQuarantine {
 		return state.String()
 	}
 	crashes := slices.DeleteFunc(slices.Clone(e.Crashes), func(id string) bool { return strings.HasSuffix(id, sharedMark) })
@@ -337,37 +355,50 @@
 
 // stateOf returns the state of a request with an entry, which may be nil.
 func stateOf(e *sycapb.PoisonEntry) State {
-	own, shared := countCrashes(e)
+	n := countCrashes(e)
 	switch {
-	case own >= crashesToQuarantine:
+	case n.confirmed > 0 && n.first+n.confirmed >= crashesToQuarantine:
 		return Quarantined
-	case shared > 0:
+	case n.shared > 0 || n.first >= crashesToQuarantine:
 		return Isolated
-	case own > 0:
+	case n.first+n.confirmed > 0:
 		return Suspect
 	}
 	return Clear
 }
 
-// countCrashes counts the crashes at which the request was the only suspect, and the others.
-func countCrashes(e *sycapb.PoisonEntry) (own, shared int) {
+// crashCounts are the numbers of crashes at which a request was no suspect yet, was the only one, and was
+// one of several.
+type crashCounts struct {
+	first, confirmed, shared int
+}
+
+func countCrashes(e *sycapb.PoisonEntry) crashCounts {
+	var n crashCounts
 	for _, id := range e.GetCrashes() {
-		if strings.HasSuffix(id, sharedMark) {
-			shared++
-		} else {
-			own++
-		}
+		*n.of(id)++
+	}
+	return n
+}
+
+// of returns the number to which a crash with the recorded ID counts.
+func (n *crashCounts) of(id string) *int {
+	switch {
+	case strings.HasSuffix(id, sharedMark):
+		return &n.shared
+	case strings.HasSuffix(id, confirmMark):
+		return &n.confirmed
 	}
-	return own, shared
+	return &n.first
 }
 
 // needsCrash reports whether a further crash can change the state of a request.
 func needsCrash(e *sycapb.PoisonEntry, id string) bool {
-	own, shared := countCrashes(e)
+	n := countCrashes(e)
 	if strings.HasSuffix(id, sharedMark) {
-		return shared == 0
+		return n.shared == 0
 	}
-	return own < crashesToQuarantine
+	return *n.of(id) < crashesToQuarantine
 }
 
 // hasRoom reports whether an entry with a further crash is within maxEntryBytes.
