poison: a full registry drops what matters least

Cause: each crash makes all requests in flight suspects, 200 at a time, for ten minutes. The registry holds 1,024 entries and took no new one while it was full.

A full registry now drops the least important entry: suspects before isolated and quarantined requests, the oldest first. The request that crashes servers is the newest suspect and returns within seconds, so its entry is there when it does.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -17,6 +17,7 @@
 package poison
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -37,7 +38,7 @@
 	confirmMark = "+"
 	// sharedMark ends the recorded ID of a crash at which there were other suspects.
 	sharedMark = "~"
-	// maxEntries bounds the number of entries in a Registry.
+	// maxEntries is the number of entries of a Registry beyond which the least important ones are dropped.
 	maxEntries = 1024
 	// maxVerdicts is the number of crashes whose verdict is kept. All requests that a crash cut record it within
 	// moments.
@@ -315,7 +316,7 @@
 	fp := Fingerprint(in.Fingerprint)
 	e, ok := r.entries[fp]
 	if !ok || in.Lifts > e.Lifts {
-		if !ok && len(r.entries) >= maxEntries {
+		if !ok && len(r.entries) >= maxEntries && !r.makeRoom(in) {
 			return nil, false
 		}
 		r.entries[fp] = proto.Clone(in).(*sycapb.PoisonEntry)
@@ -335,6 +336,32 @@
 	return proto.Clone(e).(*sycapb.PoisonEntry), added
 }
 
+// makeRoom removes the entry that matters least and reports whether it matters less than in. The caller must
+// hold r.mu.
+func (r *Registry) makeRoom(in *sycapb.PoisonEntry) bool {
+	least := in
+	for _, e := range r.entries {
+		if mattersLess(e, least) {
+			least = e
+		}
+	}
+	if least == in {
+		return false
+	}
+	delete(r.entries, Fingerprint(least.Fingerprint))
+	return true
+}
+
+// mattersLess reports whether a full Registry drops entry a before b. One crash of a busy server adds hundreds
+// of suspects, of which all but one are harmless, and a request that crashes servers returns within seconds.
+func mattersLess(a, b *sycapb.PoisonEntry) bool {
+	return cmp.Or(
+		cmp.Compare(max(stateOf(a), Suspect), max(stateOf(b), Suspect)),
+		cmp.Compare(a.SeenUnixMs, b.SeenUnixMs),
+		cmp.Compare(a.Fingerprint, b.Fingerprint),
+	) < 0
+}
+
 // expire removes entries past their TTL; r.mu is held.
 func (r *Registry) expire() {
 	now := r.now()
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -173,3 +173,37 @@
 		t.Errorf("after a success the request is %s", s)
 	}
 }
+
+// Harmless requests that were in flight at earlier crashes filled the registry, and a request that crashes servers
+// was not recorded.
+func TestFullRegistryRecordsNoCrash(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registry := newRegistry(&now)
+	quarantined := poison.Request{Fingerprint: 1}
+	registry.RecordCrash("q1", []poison.Request{quarantined})
+	registry.RecordCrash("q2", []poison.Request{quarantined})
+	next := poison.Fingerprint(100)
+	crash := func(id string, req ...poison.Request) {
+		for range 250 {
+			next++
+			req = append(req, poison.Request{Fingerprint: next, Fresh: true})
+		}
+		registry.RecordCrash(id, req)
+		now = now.Add(5 * time.Second)
+	}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		crash(id)
+	}
+	bad := poison.Request{Fingerprint: 2}
+	for _, id := range []string{"x", "y"} {
+		crash(id, bad)
+	}
+	for _, fp := range []poison.Fingerprint{1, 2} {
+		if s := registry.State(fp); s != poison.Quarantined {
+			t.Errorf("request %d is %s", fp, s)
+		}
+	}
+	if n := len(registry.Entries()); n > 1024 {
+		t.Errorf("%d entries", n)
+	}
+}
