seed: a daemon that no seed answers writes one

Cause: a daemon writes a seed only if it finds none, or after it has joined.

A daemon that no listed seed has answered past JoinTimeout writes one with a probability that doubles each second. That works for any size: a few write first and are found at the next attempt, since unresponsive seeds are now asked last; the store does not get thousands of writes.

--- a/seed/islands_test.go
+++ b/seed/islands_test.go
@@ -285,6 +285,49 @@
 	}, n)
 }
 
+// After a power cut from which the daemons with seeds did not return, the others found nobody until the leases of
+// the seeds ended.
+func TestDaemonsStayAloneAfterAllSeedsWereLost(t *testing.T) {
+	for _, n := range []int{11, 30, 90} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				for i := range n {
+					f.start(i, true)
+				}
+				// Only the first daemons of each zone go on renewing their seeds.
+				time.Sleep(2 * seed.LeaseTTL)
+				lost := f.seedHolders()
+				if len(lost) != fleetZones*perZone {
+					t.Fatalf("%d seeds", len(lost))
+				}
+				for i := range n {
+					f.kill(i)
+				}
+				time.Sleep(2 * time.Second)
+				for i := range n {
+					if !lost[i] {
+						f.start(i, false)
+					}
+				}
+			}, n)
+		})
+	}
+}
+
+// seedHolders returns which daemons have a seed.
+func (f *fleet) seedHolders() map[int]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	holders := map[int]bool{}
+	for addr, expires := range f.seeds {
+		if time.Now().After(expires) {
+			continue
+		}
+		holders[int(addr.Addr().As4()[3])-1] = true
+	}
+	return holders
+}
+
 // Random starts, kills, cuts and losses of the platform left parts that did not find each other.
 func TestMembershipStaysSplitAfterFaults(t *testing.T) {
 	for s := range uint64(40) {
--- a/seed/seed.go
+++ b/seed/seed.go
@@ -10,8 +10,9 @@
 //
 // The number of calls matters if a whole fleet starts or restarts at once:
 // hundreds of daemons would each write a seed. Therefore a daemon writes a seed
-// only if it found none of another daemon, or once it knows the members of its
-// zone and is one of the first.
+// only if it found none of another daemon, if none of those that it found has
+// responded for some time, or once it knows the members of its zone and is one of
+// the first.
 //
 //	f := seed.New(seed.Config{SeedsPerZone: 3, ListSeeds: list, RenewSeed: renew, Join: join, ...})
 //	group.Go(func() error { return f.Join(ctx) })
@@ -54,6 +55,11 @@
 	// relistDelay is the time after writing the first seed until a daemon lists the seeds again, to
 	// find other daemons that wrote a first seed at the same time.
 	relistDelay = 500 * time.Millisecond
+	// firstSeedOdds is the reciprocal of the probability that a daemon writes a seed after an attempt to join at
+	// JoinTimeout, at which no listed seed responded. The probability doubles each seedOddsInterval, so that a few
+	// of any number of daemons write one within seconds.
+	firstSeedOdds    = 32
+	seedOddsInterval = time.Second
 	// scanInterval is the mean time between two scans for seeds that are not members, by all daemons of
 	// a zone together.
 	scanInterval = 3 * time.Second
@@ -105,13 +111,15 @@
 	joined atomic.Bool
 	// noSeeds reports that the platform listed no seed of another daemon.
 	noSeeds atomic.Bool
+	// unresponsive holds the seeds that have not responded since the daemon started or joined last.
+	unresponsive map[netip.AddrPort]bool
 	// lost is signalled when the own seed may be lost.
 	lost chan struct{}
 }
 
 // New returns a Finder.
 func New(cfg Config) *Finder {
-	return &Finder{Config: cfg, lost: make(chan struct{}, 1)}
+	return &Finder{Config: cfg, unresponsive: map[netip.AddrPort]bool{}, lost: make(chan struct{}, 1)}
 }
 
 // Join exchanges member entries with a first daemon, and again whenever no other
@@ -129,6 +137,9 @@
 		switch {
 		case !joined || f.MemberCount() == 0:
 			joined = f.tryJoin(ctx, round == 0 && !f.Bootstrap)
+			if late := f.Now().Sub(start) - JoinTimeout; !joined && late > 0 && len(f.unresponsive) > 0 {
+				f.proposeSeed(late)
+			}
 		case f.scanDue(delay):
 			f.scan(ctx)
 		}
@@ -148,6 +159,15 @@
 	}
 }
 
+// proposeSeed makes the daemon write a seed at random, since no listed seed responds: their daemons may all be
+// gone. late is the time since JoinTimeout.
+func (f *Finder) proposeSeed(late time.Duration) {
+	odds := max(1, firstSeedOdds>>(late/seedOddsInterval))
+	if f.Jitter(time.Duration(odds)) == 0 && !f.noSeeds.Swap(true) {
+		f.Log.WithField("seeds", len(f.unresponsive)).Warn("no seed responds; writing one")
+	}
+}
+
 // tryJoin joins through the daemons in KnownAddrs or, if none of them responds,
 // through the seeds. It reports whether it joined.
 func (f *Finder) tryJoin(ctx context.Context, stale bool) bool {
@@ -165,7 +185,29 @@
 		f.noSeeds.Store(f.noSeeds.Load() || !stale)
 		return false
 	}
-	return f.Config.Join(ctx, seeds[:min(len(seeds), maxContacts)])
+	return f.contact(ctx, seeds)
+}
+
+// contact joins through a few of the seeds, first those that have not failed to respond.
+func (f *Finder) contact(ctx context.Context, seeds []netip.AddrPort) bool {
+	slices.SortStableFunc(seeds, func(a, b netip.AddrPort) int {
+		switch {
+		case f.unresponsive[a] == f.unresponsive[b]:
+			return 0
+		case f.unresponsive[b]:
+			return -1
+		}
+		return 1
+	})
+	seeds = seeds[:min(len(seeds), maxContacts)]
+	if f.Config.Join(ctx, seeds) {
+		clear(f.unresponsive)
+		return true
+	}
+	for _, a := range seeds {
+		f.unresponsive[a] = true
+	}
+	return false
 }
 
 // scanDue reports at random whether this daemon scans after the given time since
