life: a server that goes on reporting replaces one that is silent

Cause: the second start has an earlier start time than the first, so each of its reports counted as a late one, for ever.

An earlier start replaces the known one after three reports with rising sequence numbers in 3 s, without any report of the known one meanwhile. That works because late reports end within seconds, and a server that lives reports every one or two.

TestServerWithAnEarlierStartTimeIsNeverUsed failed before. TestLateReportsReplaceNoServer holds the cases that must not replace it.

--- a/life/life.go
+++ b/life/life.go
@@ -3,7 +3,9 @@
 // A backend server reports that it is ready or leaving; a crash is not reported.
 // Reports may be late and out of order: they are ordered by the start time of the
 // server, then by sequence number. A server that reported that it is leaving
-// never becomes ready again, only a later start of it does.
+// never becomes ready again, only a later start of it does. The clock of a machine may
+// be set back between two starts, so a server that goes on reporting while the one that
+// is known is silent counts as the later one, whatever its start time.
 //
 //	t := life.New(addr, time.Now, func(s life.Server) { announce(s) })
 //	t.HandleReport(report)
@@ -26,6 +28,13 @@
 // MaxSlots is the maximum number of slots of a backend server.
 const MaxSlots = 100_000
 
+// A start with an earlier start time than the known one replaces it after minEarlierReports reports in
+// minEarlierTime, a few heartbeats, without a report of the known one. Late reports end within seconds.
+const (
+	minEarlierReports = 3
+	minEarlierTime    = 3 * time.Second
+)
+
 // State is the lifecycle state of a backend server.
 type State int
 
@@ -93,8 +102,17 @@
 	now      func() time.Time
 	onChange func(Server)
 
-	mu     sync.Mutex
-	server Server
+	mu      sync.Mutex
+	server  Server
+	earlier earlierStart
+}
+
+// earlierStart is a start with an earlier start time than the known one, and its reports since the last
+// one of the latter.
+type earlierStart struct {
+	last    Report
+	reports int
+	since   time.Time
 }
 
 // New returns a Tracker for the server at addr. It calls onChange, without holding any lock, after
@@ -117,12 +135,14 @@
 		return false
 	}
 	t.update(func(s *Server) bool {
-		if r.StartedAt.Before(s.StartedAt) || r.StartedAt.Equal(s.StartedAt) && r.Sequence <= s.Sequence {
+		replaces := r.StartedAt.Before(s.StartedAt) && t.replacesKnown(s, r)
+		if r.StartedAt.Before(s.StartedAt) && !replaces || r.StartedAt.Equal(s.StartedAt) && r.Sequence <= s.Sequence {
 			return false
 		}
-		restarted := r.StartedAt.After(s.StartedAt) && !t.isLateReport(s, r)
+		t.earlier = earlierStart{}
+		restarted := replaces || r.StartedAt.After(s.StartedAt) && !t.isLateReport(s, r)
 		oldState := s.State
-		if restarted && t.isNewStart(s, r) {
+		if replaces || restarted && t.isNewStart(s, r) {
 			s.Start++
 		}
 		s.Report = r
@@ -138,6 +158,27 @@
 	return true
 }
 
+// replacesKnown reports whether r, which has an earlier start time than the known start, shows that its
+// server started after that one, when the clock had been set back.
+func (t *Tracker) replacesKnown(s *Server, r Report) bool {
+	e, now := &t.earlier, t.now()
+	if e.last.Instance != r.Instance || !e.last.StartedAt.Equal(r.StartedAt) {
+		if r.StartedAt.Before(e.last.StartedAt) {
+			return false
+		}
+		*e = earlierStart{since: now}
+	} else if r.Sequence <= e.last.Sequence {
+		return false
+	}
+	e.last = r
+	e.reports++
+	if s.State == Leaving && s.Instance == r.Instance && now.Sub(s.Since) < lateReportTimeout {
+		// Its ID does not tell it from the leaving server, which may still serve.
+		return false
+	}
+	return e.reports >= minEarlierReports && now.Sub(e.since) >= minEarlierTime
+}
+
 // isNewStart reports whether r, which has a later start time than the known one, is of another start.
 // A probe does not tell the start time, so the first report after one mostly tells that of the same
 // start.
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -203,3 +203,58 @@
 		t.Errorf("start %d, want 2", got)
 	}
 }
+
+// The clock was set back between two starts, and the second one was never used.
+func TestServerWithAnEarlierStartTimeIsNeverUsed(t *testing.T) {
+	now := time.Now()
+	for _, id := range []string{"b", "a"} {
+		tracker := life.New(addr, func() time.Time { return now }, nil)
+		tracker.HandleReport(newReport("a", 5000, 1, false))
+		tracker.MarkDown("a")
+		now = now.Add(time.Second)
+		for n := range int64(4) {
+			tracker.HandleReport(newReport(id, 3000, 1+n, false))
+			now = now.Add(1500 * time.Millisecond)
+		}
+		s := tracker.Server()
+		if s.State != life.Ready || s.Instance != id || !s.StartedAt.Equal(time.UnixMilli(3000)) || s.Start != 2 {
+			t.Errorf("%s: %+v", id, s)
+		}
+	}
+}
+
+// Late reports of an earlier start do not replace the known one: they end, or the known one reports too.
+func TestLateReportsReplaceNoServer(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		id       string
+		interval time.Duration
+		reports  int64
+		// repeated is set if all reports are the same one, alive if the known server reports too, and leaving if it
+		// announced its shutdown.
+		repeated, alive, leaving bool
+	}{
+		"burst":                {id: "a", interval: 100 * time.Millisecond, reports: 10},
+		"few":                  {id: "a", interval: 1500 * time.Millisecond, reports: 2},
+		"repeated":             {id: "a", interval: 1500 * time.Millisecond, reports: 10, repeated: true},
+		"beside the known one": {id: "a", interval: 1500 * time.Millisecond, reports: 10, alive: true},
+		"of the leaving ID":    {id: "b", interval: 1500 * time.Millisecond, reports: 10, leaving: true},
+	} {
+		tracker := life.New(addr, func() time.Time { return now }, nil)
+		tracker.HandleReport(newReport("b", 5000, 1, c.leaving))
+		for n := range c.reports {
+			sequence := n + 1
+			if c.repeated {
+				sequence = 1
+			}
+			tracker.HandleReport(newReport(c.id, 3000, sequence, false))
+			now = now.Add(c.interval)
+			if c.alive {
+				tracker.HandleReport(newReport("b", 5000, n+2, false))
+			}
+		}
+		if s := tracker.Server(); s.Instance != "b" || !s.StartedAt.Equal(time.UnixMilli(5000)) {
+			t.Errorf("%s: %+v", name, s)
+		}
+	}
+}
