route: the test of a well server's share has fixed randomness

Table has the source as a seam, IntN. It is as strict: a server that lost its share to an outage fails it.

--- a/route/outlier.go
+++ b/route/outlier.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math/rand/v2"
 	"time"
 )
 
@@ -124,12 +123,12 @@
 }
 
 // pickTwo returns the cheaper of two random candidates, or nil if list is empty.
-func (m methodBaseline) pickTwo(list []*candidate, now time.Time) *candidate {
+func (m methodBaseline) pickTwo(list []*candidate, now time.Time, intN func(n int) int) *candidate {
 	if len(list) == 0 {
 		return nil
 	}
-	a := list[rand.IntN(len(list))]
-	b := list[rand.IntN(len(list))]
+	a := list[intN(len(list))]
+	b := list[intN(len(list))]
 	if m.cost(b, now) < m.cost(a, now) {
 		return b
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -21,6 +21,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -133,6 +134,8 @@
 	Self string
 	// Zone is the availability zone of this daemon.
 	Zone string
+	// IntN returns a random number below n. Calls do not overlap.
+	IntN func(n int) int
 
 	mu       sync.Mutex
 	now      func() time.Time
@@ -142,7 +145,7 @@
 
 // New returns an empty table for the daemon self in zone.
 func New(self, zone string, now func() time.Time) *Table {
-	return &Table{Self: self, Zone: zone, now: now, byID: map[string]*candidate{}, services: map[string][]*candidate{}}
+	return &Table{Self: self, Zone: zone, IntN: rand.IntN, now: now, byID: map[string]*candidate{}, services: map[string][]*candidate{}}
 }
 
 // Update replaces the candidates. The state of those that stay is kept, unless
@@ -329,7 +332,7 @@
 			remote = append(remote, c)
 		}
 	}
-	return baseline.prefer(baseline.pickTwo(local, now), baseline.pickTwo(remote, now), now)
+	return baseline.prefer(baseline.pickTwo(local, now, t.IntN), baseline.pickTwo(remote, now, t.IntN), now)
 }
 
 // prefer returns first, or second if first is clearly busier. Either may be nil.
--- a/route/share_test.go
+++ b/route/share_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"sycamorespread.dev/action"
 	"sycamorespread.dev/route"
 	"sycamorespread.dev/sycapb"
@@ -20,9 +19,11 @@
 	cut     []bool
 }
 
-func newFakeFleet(n int) *fakeFleet {
+// newFakeFleet returns a fleet of n servers whose table chooses at random with the seed.
+func newFakeFleet(n int, seed uint64) *fakeFleet {
 	f := &fakeFleet{now: time.Unix(1000, 0), cut: make([]bool, n)}
 	f.table = route.New("self", "a", func() time.Time { return f.now })
+	f.table.IntN = rand.New(rand.NewPCG(seed, 1)).IntN
 	for i := range n {
 		f.targets = append(f.targets, route.Target{ID: fmt.Sprintf("plots-%d", i), Incarnation: 1, Service: service, Zone: "a", Slots: 10})
 	}
@@ -89,30 +90,48 @@
 	}
 }
 
-func TestWellServerGetsLessThanItsShare(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(2, 6).Draw(t, "servers")
-		f := newFakeFleet(n)
-		for range rapid.IntRange(1, 12).Draw(t, "events") {
-			f.call()
-			f.change(rapid.IntRange(0, n-1).Draw(t, "server"), rapid.SampledFrom([]string{"stop", "start", "crash", "back", "cut", "heal"}).Draw(t, "event"))
-			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+// shares returns how many of 8 calls for each of n servers each one gets after some events, or after the same time
+// without any.
+func shares(t *testing.T, seed uint64, disturbed bool) map[string]int {
+	t.Helper()
+	events := rand.New(rand.NewPCG(seed, 2))
+	n := 2 + events.IntN(5)
+	f := newFakeFleet(n, seed)
+	names := []string{"stop", "start", "crash", "back", "cut", "heal"}
+	for range 1 + events.IntN(12) {
+		f.call()
+		if server, name := events.IntN(n), names[events.IntN(len(names))]; disturbed {
+			f.change(server, name)
 		}
-		f.recover()
-		// The last calls of the outages end, and what comes next is a normal load.
-		f.now = f.now.Add(time.Second)
-		counts := map[string]int{}
-		for range 8 * n {
-			attempt, err := f.table.Pick(request(0))
-			if err != nil {
-				t.Fatal(err)
-			}
-			counts[attempt.Target.ID]++
+		f.now = f.now.Add(time.Duration(events.IntN(3001)) * time.Millisecond)
+	}
+	f.recover()
+	// The last calls of the outages end, and what comes next is a normal load.
+	f.now = f.now.Add(time.Second)
+	counts := map[string]int{}
+	for range 8 * n {
+		attempt, err := f.table.Pick(request(0))
+		if err != nil {
+			t.Fatal(err)
 		}
-		for _, target := range f.targets {
-			if counts[target.ID] < 4 {
-				t.Errorf("%s got %d of %d calls, its share is 8", target.ID, counts[target.ID], 8*n)
+		counts[attempt.Target.ID]++
+	}
+	for _, target := range f.targets {
+		// Servers without calls count too.
+		counts[target.ID] += 0
+	}
+	return counts
+}
+
+// After the end of all outages, a server got less than half of its share of 8. Chance alone gives few servers
+// fewer than 4 calls: the same choices without outages show that.
+func TestWellServerGetsLessThanItsShare(t *testing.T) {
+	for seed := range uint64(10_000) {
+		after, calm := shares(t, seed, true), shares(t, seed, false)
+		for id, n := range after {
+			if n < min(4, calm[id]) {
+				t.Errorf("seed %d: %s got %d of %d calls, its share is 8, and %d without outages", seed, id, n, 8*len(after), calm[id])
 			}
 		}
-	})
+	}
 }
