bench: servers of the soak respond with statuses that HTTP does not have

A corrupting server of the soak writes one of three kinds of faulty responses; the third is new: an invalid status, with a body that has the form of a signed response to the same request.

--- a/bench/soakapp.go
+++ b/bench/soakapp.go
@@ -37,6 +37,9 @@
 // refusalStatuses are the statuses of a server's refusals.
 var refusalStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
 
+// invalidStatuses are the statuses of a server's responses that are none.
+var invalidStatuses = []string{"000", "001", "099", "+20", "0", "20", "2x0", "1000", "600", "999"}
+
 // soakServer is the backend server of one instance. It runs in the process of the soak.
 type soakServer struct {
 	s          *soak
@@ -224,18 +227,41 @@
 	return "failure of " + request
 }
 
-// writeCorrupted writes a truncated response or the response of another request.
+// writeCorrupted writes a truncated response, the response of another request or one with an invalid status.
 func (a *soakServer) writeCorrupted(w http.ResponseWriter, request string) {
-	if rand.IntN(2) == 0 {
+	switch rand.IntN(3) {
+	case 0:
 		w.Header().Set(a.headers.RequestID, "stranger")
 		_, _ = io.WriteString(w, responseBody("stranger", nil))
 		return
+	case 1:
+		a.writeInvalidStatus(w, request)
+		return
 	}
 	w.Header().Set("Content-Length", "1000")
 	_, _ = io.WriteString(w, responseBody(request, nil))
 	panic(http.ErrAbortHandler)
 }
 
+// writeInvalidStatus writes a response with a status that HTTP does not have, whose body has the form of a response
+// to the same request.
+func (a *soakServer) writeInvalidStatus(w http.ResponseWriter, request string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		a.s.recordViolation("hijack", request, err.Error())
+		return
+	}
+	fields := fmt.Sprintf("%s: %s\r\n%s: sig-%s\r\n", a.headers.RequestID, request, a.headers.Signature, request)
+	forged := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 6\r\n\r\nforged", fields)
+	length := ""
+	if rand.IntN(2) == 0 {
+		length = fmt.Sprintf("Content-Length: %d\r\n", len(forged))
+	}
+	// These fail only if the daemon has closed the connection.
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s%s\r\n%s", invalidStatuses[rand.IntN(len(invalidStatuses))], fields, length, forged)
+	_ = c.Close()
+}
+
 func (a *soakServer) isDraining() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
