--- a/front/crash.go
+++ b/front/crash.go
@@ -63,15 +63,16 @@
 	}}
 	closeBody := a.close
 	a.close = func() {
-		f.endRun(ctx, r, s)
+		f.endRun(ctx, r, s, true)
 		closeBody()
 	}
 }
 
-// endRun removes a request from those that are running. If its caller has left, the server may go on with it.
-func (f *Front) endRun(ctx context.Context, r *request, s life.Server) {
+// endRun removes a request from those that are running. If it was sent and its caller has left, the server may
+// go on with it.
+func (f *Front) endRun(ctx context.Context, r *request, s life.Server, sent bool) {
 	f.runs.remove(r)
-	if ctx.Err() != nil {
+	if sent && ctx.Err() != nil {
 		f.runs.depart(r, s.Start, f.Now())
 	}
 }
--- a/front/ingress.go
+++ b/front/ingress.go
@@ -190,7 +190,7 @@
 	sentAt := f.Now()
 	resp, err := f.ServerPool.Do(ctx, f.ServerAddr, f.serverRequest(r, s))
 	if err != nil {
-		defer f.endRun(ctx, r, s)
+		defer f.endRun(ctx, r, s, !isDialError(err))
 		return f.serverError(ctx, r, s, err)
 	}
 	h := resp.Header
@@ -327,10 +327,15 @@
 	return req
 }
 
+// isDialError reports whether a request was not sent for lack of a connection.
+func isDialError(err error) bool {
+	var dialErr *httpc.DialError
+	return errors.As(err, &dialErr)
+}
+
 // serverError maps the error of a request to the backend server to a response.
 func (f *Front) serverError(ctx context.Context, r *request, s life.Server, err error) (*response, admit.RunResult) {
-	var dialErr *httpc.DialError
-	if errors.As(err, &dialErr) {
+	if isDialError(err) {
 		if ctx.Err() != nil {
 			return notRunResponse(f.cancelReason()), admit.NoResponse
 		}
