--- a/front/cluster_test.go
+++ b/front/cluster_test.go
@@ -73,7 +73,7 @@
 }
 
 func (s *fakeServer) close() {
-	_ = s.listener.Close()
+	_ = s.currentListener().Close()
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
@@ -84,12 +84,20 @@
 }
 
 func (s *fakeServer) addr() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+	return s.currentListener().Addr().(*net.TCPAddr).AddrPort()
+}
+
+// currentListener returns the listener, which a restart replaces.
+func (s *fakeServer) currentListener() net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener
 }
 
 func (s *fakeServer) serve() error {
+	l := s.currentListener()
 	for {
-		c, err := s.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return nil
 		}
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -55,7 +55,7 @@
 
 // crash closes the listener and all connections of the server.
 func (s *fakeServer) crash() {
-	_ = s.listener.Close()
+	_ = s.currentListener().Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -73,7 +73,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	c.mu.Lock()
 	c.listener = l
+	c.mu.Unlock()
 	c.g.Go(c.serve)
 	c.starts++
 	report := newServerReport(c.instance, "s-"+c.id, 1)
