--- a/review/stand3/lab.go
+++ b/review/stand3/lab.go
@@ -65,7 +65,7 @@
 		n := 20 + (first+i)%200
 		free := true
 		for _, p := range []int{portInbound, portApp, portReady, portOutbound, portControl, portFirst, portLast, portMetrics} {
-			for host := 1; host <= 12 && free; host++ {
+			for host := 1; host <= 14 && free; host++ {
 				probe, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:%d", n, host, p))
 				if err != nil {
 					free = false
