--- a/review/stand3/atonce.go
+++ b/review/stand3/platform/atonce.go
@@ -14,7 +14,11 @@
 	if err != nil {
 		return 0, err
 	}
+	for _, s := range servers[6:] {
+		s.work = payment
+	}
 	p := newPoison(l, servers[6:])
+	others := newPayers(l, []*machine{servers[0].m, servers[1].m, servers[2].m, servers[3].m})
 	for range 4 {
 		round := time.Now()
 		var clients sync.WaitGroup
@@ -32,5 +36,6 @@
 		clients.Wait()
 		time.Sleep(4*time.Second - time.Since(round))
 	}
+	others.end()
 	return p.end(), nil
 }
--- a/review/stand3/main.go
+++ b/review/stand3/platform/main.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 	"time"
 )
 
@@ -21,8 +20,8 @@
 	"late-leave": lateLeave,
 	"late-beat":  lateBeat,
 	"departed":   departed,
-	"moved":      moved,
 	"at-once":    atOnce,
+	"all-killed": allKilled,
 }
 
 func main() {
@@ -76,8 +75,8 @@
 	return object{"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 4000, "target_latency_ms": 1500, "priority": 1, "service": service, "max_attempts": 2}
 }
 
-// configure writes a configuration with a route to each of three services. A route of more replaces the one with its name.
-func (l *lab) configure(version int, more ...object) {
+// configure writes the configuration, with a route to each of three services.
+func (l *lab) configure(version int) {
 	var services []object
 	for _, name := range []string{"statements", "payments", "waitlists", "plots"} {
 		services = append(services, object{"name": name, "health_check_path": "/health", "max_connections": 514, "protocol": "h1", "tls": false})
@@ -87,10 +86,6 @@
 		route("r-pay", "payments.example", "/pay/", "non_idempotent", "payments"),
 		route("r-wait", "waitlists.example", "/wait/", "idempotent", "waitlists"),
 	}
-	for _, r := range more {
-		routes = slices.DeleteFunc(routes, func(old object) bool { return old["name"] == r["name"] })
-		routes = append(routes, r)
-	}
 	b, _ := json.Marshal(object{
 		"version": fmt.Sprintf("r%d", version), "routes": routes, "services": services,
 		"limits": object{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/review/stand3/poison.go
+++ b/review/stand3/platform/poison.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// payment is the work of a server of payments, of the length that the site file gives it.
+func payment(*http.Request, []byte) (int, []byte) {
+	time.Sleep(210 * time.Millisecond)
+	return http.StatusOK, []byte("paid")
+}
+
 // crash ends a server and starts its next incarnation after a while.
 func (p *poison) crash(s *server) {
 	p.mu.Lock()
@@ -69,6 +75,7 @@
 			return
 		}
 		next := p.l.server(s.m, fmt.Sprintf("i-7f3b%04x", n), s.service)
+		next.work = s.work
 		p.apply(next)
 		if err := next.listen(); err == nil {
 			next.beats()
