--- a/review/stand3/platform/lab.go
+++ b/review/stand3/platform/lab.go
@@ -10,7 +10,6 @@
 	"regexp"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -118,11 +117,9 @@
 	name          string
 	zone, service string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{}
-	stopped bool
-	starts  int
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 func (l *lab) machine(host int, zone, service string) *machine {
@@ -175,8 +172,7 @@
 	}
 	done := make(chan struct{})
 	m.mu.Lock()
-	m.cmd, m.done, m.stopped = cmd, done, false
-	m.starts++
+	m.cmd, m.done = cmd, done
 	m.mu.Unlock()
 	m.l.note("daemon %s started", m.name)
 	go func() {
@@ -188,20 +184,6 @@
 	return nil
 }
 
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd == nil {
-		return
-	}
-	select {
-	case <-m.done:
-	default:
-		m.l.note("%s to daemon %s", s, m.name)
-		_ = m.cmd.Process.Signal(s)
-	}
-}
-
 // kill ends the daemon and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
--- a/review/stand3/platform/server.go
+++ b/review/stand3/platform/server.go
@@ -64,11 +64,13 @@
 }
 
 func (l *lab) server(m *machine, id, service string) *server {
-	return &server{l: l, m: m, id: id, service: service, zone: m.zone, born: time.Now().UnixMilli(), slots: 69, quit: make(chan struct{}), conns: map[net.Conn]bool{},
+	return &server{
+		l: l, m: m, id: id, service: service, zone: m.zone, born: time.Now().UnixMilli(), slots: 69, quit: make(chan struct{}), conns: map[net.Conn]bool{},
 		work: func(*http.Request, []byte) (int, []byte) {
 			time.Sleep(20 * time.Millisecond)
 			return http.StatusOK, []byte("answer")
-		}}
+		},
+	}
 }
 
 // listen starts to serve, without a heartbeat.
@@ -298,6 +300,7 @@
 	if err != nil {
 		return answered{err: err}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	got, err := io.ReadAll(resp.Body)
 	return answered{status: resp.StatusCode, header: resp.Header, body: got, err: err}
 }
