--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
-# Runs the case "late-leave" of review/stand3, after the build of the deploy file and review/build-3.sh.
+# Runs the case "late-leave" of review/stand3, after the build of the deploy file and review/build-3.sh. With TROUBLE=0 it does
+# the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/stand3 ] && [ -x target/sycd ] || { echo "build first: the deploy file, review/build-3.sh" >&2; exit 2; }
-exec target/review-3/stand3 late-leave review/11
+if [ "${TROUBLE:-1}" = 0 ]; then
+  exec target/review-3/stand3 late-leave review/11 calm
+fi
+exec target/review-3/stand3 late-leave review/11 trouble
--- a/review/stand3/platform/main.go
+++ b/review/stand3/platform/main.go
@@ -1,10 +1,10 @@
 // Command stand3 runs the scripted cases of the third review: a small deployment of the project's daemons with
 // stand-ins for the store, the servers and the clients.
 //
-//	stand3 CASE FOLDER    runs a case and writes record.txt in its folder
+//	stand3 CASE FOLDER trouble    runs a case and writes record.txt in its folder
+//	stand3 CASE FOLDER calm       does the same without the disruption
 //
-// It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the
-// environment it leaves the disruption out.
+// It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
 import (
@@ -25,8 +25,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "trouble" && os.Args[3] != "calm" {
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER trouble|calm")
 		os.Exit(2)
 	}
 	root, err := os.Getwd()
@@ -44,7 +44,7 @@
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		os.Exit(2)
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] == "trouble"
 	time.AfterFunc(110*time.Second, func() {
 		l.close()
 		fmt.Fprintln(os.Stderr, "the case could not run: too slow")
